Set down the shape: blackboard, records, registries and checks

Cause: the repository is empty and later work needs fixed interfaces. Change: design and protocol pages, the core package (blackboard with one writer per section, slotted records, registries, controller loops), the import contract and the verification script. Before: nothing. Conclusion: the packages can now be filled independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Creates the environment once, runs the main job and the verification.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test format clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m bench.demo
+
+test: $(STAMP)
+	tools/check
+
+format: $(STAMP)
+	$(BIN)/ruff format src tests bench
+	$(BIN)/ruff check --fix src tests bench
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demonstration; each runs with one command."""
--- /dev/null
+++ b/src/bramleyfork/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Conversions between bytes and records."""
--- /dev/null
+++ b/src/bramleyfork/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command-line tool."""
--- /dev/null
+++ b/src/bramleyfork/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of a daemon and the declaration operators publish."""
--- /dev/null
+++ b/src/bramleyfork/core/__init__.py
@@ -0,0 +1,1 @@
+"""Types and mechanics that every other package uses."""
--- /dev/null
+++ b/src/bramleyfork/core/clocks.py
@@ -0,0 +1,43 @@
+"""Sources of time that are passed to controllers and transports."""
+
+import time
+import typing
+
+
+class Clock(typing.Protocol):
+    """A source of monotonic time."""
+
+    def read_monotonic(self) -> float:
+        """Returns seconds from an arbitrary origin; never goes back."""
+
+
+class SystemClock:
+    """The monotonic clock of the machine.
+
+    It keeps counting while the process is stopped, so that a process that wakes
+    late finds its deadlines and leases expired.
+    """
+
+    __slots__ = ()
+
+    def read_monotonic(self) -> float:
+        """Returns seconds from an arbitrary origin."""
+        return time.monotonic()
+
+
+class ManualClock:
+    """A clock that tests move by hand."""
+
+    __slots__ = ("_now",)
+
+    def __init__(self, *, now: float = 1000.0):
+        self._now = now
+
+    def read_monotonic(self) -> float:
+        """Returns the time last set, in seconds."""
+        return self._now
+
+    def advance(self, seconds: float) -> float:
+        """Moves the clock forward and returns the new time in seconds."""
+        self._now += seconds
+        return self._now
--- /dev/null
+++ b/src/bramleyfork/core/controllers.py
@@ -0,0 +1,105 @@
+"""The controller base class and the registry that decorators fill."""
+
+import collections.abc
+import typing
+
+from bramleyfork.core import blackboard
+from bramleyfork.core import registries
+
+REQUEST_LOOP = "request"
+CONTROL_LOOP = "control"
+
+
+class Controller:
+    """Reads sections of the blackboard and writes its own.
+
+    Subclasses implement ``step``, set up their state in ``start`` and use
+    ``table``, ``cursor`` and ``writer``. ``reads`` and ``writes`` are set by
+    ``register``; any other access raises.
+
+    Args:
+      board: The blackboard of the process.
+      settings: Settings of the daemon (``configuration.settings.Settings``).
+    """
+
+    __slots__ = ("board", "settings", "_cursors", "_writers")
+
+    name: typing.ClassVar[str] = ""
+    reads: typing.ClassVar[tuple[str, ...]] = ()
+    writes: typing.ClassVar[tuple[str, ...]] = ()
+    loop: typing.ClassVar[str] = CONTROL_LOOP
+
+    def __init__(self, *, board: blackboard.Blackboard, settings: typing.Any):
+        self.board = board
+        self.settings = settings
+        self._cursors = {}
+        self._writers = {}
+        for section in self.reads:
+            found = board.find_section(section)
+            if isinstance(found, blackboard.Log):
+                self._cursors[section] = found.open_cursor()
+        for section in self.writes:
+            self._writers[section] = board.grant_writer(section, self.name)
+        self.start()
+
+    def start(self) -> None:
+        """Sets up state before the first step."""
+
+    def step(self, now: float) -> float | None:
+        """Handles what has changed.
+
+        Args:
+          now: Monotonic time in seconds.
+
+        Returns:
+          The monotonic time in seconds of the next wanted step, or None to be
+          woken by changes only.
+        """
+        raise NotImplementedError
+
+    def table(self, section: str) -> blackboard.Table:
+        """Returns a table that this controller reads or writes."""
+        if section not in self.reads and section not in self.writes:
+            raise blackboard.SectionError(
+                f"controller {self.name!r} does not read section {section!r}"
+            )
+        return self.board.find_table(section)
+
+    def take(self, section: str) -> list[typing.Any]:
+        """Returns the new records of a log that this controller reads."""
+        return self._cursors[section].take()
+
+    def writer(self, section: str) -> typing.Any:
+        """Returns the writer of a section that this controller owns."""
+        return self._writers[section]
+
+
+CONTROLLERS: registries.Registry[type[Controller]] = registries.Registry(
+    kind="controller"
+)
+
+
+def register(
+    name: str,
+    *,
+    reads: collections.abc.Sequence[str],
+    writes: collections.abc.Sequence[str],
+    loop: str = CONTROL_LOOP,
+) -> collections.abc.Callable[[type[Controller]], type[Controller]]:
+    """Returns a decorator that registers a controller class.
+
+    Args:
+      name: The controller's name, as in the writer column of the sections.
+      reads: Sections whose changes wake the controller.
+      writes: Sections it owns.
+      loop: REQUEST_LOOP or CONTROL_LOOP.
+    """
+
+    def store(controller_class: type[Controller]) -> type[Controller]:
+        controller_class.name = name
+        controller_class.reads = tuple(reads)
+        controller_class.writes = tuple(writes)
+        controller_class.loop = loop
+        return CONTROLLERS.register(name)(controller_class)
+
+    return store
--- /dev/null
+++ b/src/bramleyfork/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions over records and a passed time; no I/O and no state."""
--- /dev/null
+++ b/src/bramleyfork/transports/__init__.py
@@ -0,0 +1,1 @@
+"""Network input and output; transports move records and decide nothing."""
