--- a/src/bramleyfork/core/controllers.py
+++ b/src/bramleyfork/core/controllers.py
@@ -26,6 +26,7 @@
 
     name: typing.ClassVar[str] = ""
     reads: typing.ClassVar[tuple[str, ...]] = ()
+    peeks: typing.ClassVar[tuple[str, ...]] = ()
     writes: typing.ClassVar[tuple[str, ...]] = ()
     loop: typing.ClassVar[str] = CONTROL_LOOP
 
@@ -59,7 +60,7 @@
 
     def table(self, section: str) -> blackboard.Table:
         """Returns a table that this controller reads or writes."""
-        if section not in self.reads and section not in self.writes:
+        if section not in self.reads + self.writes + self.peeks:
             raise blackboard.SectionError(
                 f"controller {self.name!r} does not read section {section!r}"
             )
@@ -84,6 +85,7 @@
     *,
     reads: collections.abc.Sequence[str],
     writes: collections.abc.Sequence[str],
+    peeks: collections.abc.Sequence[str] = (),
     loop: str = CONTROL_LOOP,
 ) -> collections.abc.Callable[[type[Controller]], type[Controller]]:
     """Returns a decorator that registers a controller class.
@@ -92,12 +94,14 @@
       name: The controller's name, as in the writer column of the sections.
       reads: Sections whose changes wake the controller.
       writes: Sections it owns.
+      peeks: Tables it reads without being woken by their changes.
       loop: REQUEST_LOOP or CONTROL_LOOP.
     """
 
     def store(controller_class: type[Controller]) -> type[Controller]:
         controller_class.name = name
         controller_class.reads = tuple(reads)
+        controller_class.peeks = tuple(peeks)
         controller_class.writes = tuple(writes)
         controller_class.loop = loop
         return CONTROLLERS.register(name)(controller_class)
--- a/src/bramleyfork/core/fleet.py
+++ b/src/bramleyfork/core/fleet.py
@@ -274,3 +274,80 @@
     ):
         self.kind = kind
         self.at = at
+
+
+class Sighting(records.Record):
+    """What a target said of itself, passed on when it changed.
+
+    Attributes:
+      target: Name of the target.
+      report: What it said.
+      seen_at: Monotonic seconds.
+    """
+
+    __slots__ = (
+        "target",
+        "report",
+        "seen_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        report: requests.TargetReport,
+        seen_at: float,
+    ):
+        self.target = target
+        self.report = report
+        self.seen_at = seen_at
+
+
+class TargetDeath(records.Record):
+    """A target's connections broke with requests in flight.
+
+    Attributes:
+      target: Name of the target.
+      fingerprints: Fingerprints in flight on it.
+      died_at: Monotonic seconds.
+    """
+
+    __slots__ = (
+        "target",
+        "fingerprints",
+        "died_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        fingerprints: tuple[str, ...],
+        died_at: float,
+    ):
+        self.target = target
+        self.fingerprints = fingerprints
+        self.died_at = died_at
+
+
+class SuspectCleared(records.Record):
+    """A suspect request completed while alone on a target.
+
+    Attributes:
+      fingerprint: What was asked.
+      target: Target that ran it.
+    """
+
+    __slots__ = (
+        "fingerprint",
+        "target",
+    )
+
+    def __init__(
+        self,
+        *,
+        fingerprint: str,
+        target: str,
+    ):
+        self.fingerprint = fingerprint
+        self.target = target
