--- /dev/null
+++ b/src/bramleyfork/codecs/headers.py
@@ -0,0 +1,183 @@
+"""HTTP requests to targets and their replies, as in docs/protocols.md."""
+
+import collections.abc
+import json
+import typing
+
+from bramleyfork.core import ranges
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+
+_RUN_VERDICTS = {
+    "ran": verdicts.Verdict.RAN,
+    "not-run": verdicts.Verdict.NOT_RUN,
+    "may-have-run": verdicts.Verdict.MAY_HAVE_RUN,
+}
+_STATES = frozenset({"cold", "warm", "leaving"})
+_ERROR_CODES = frozenset(
+    {"wrong_snapshot", "shed", "leaving", "expired", "cancelled", "rejected"}
+)
+
+Headers = collections.abc.Mapping[str, str]
+
+
+class ReplyError(ValueError):
+    """A target's reply does not follow the protocol."""
+
+
+def encode_request(
+    request: requests.SubRequest, remaining_ms: int
+) -> tuple[str, dict[str, str], bytes]:
+    """Returns path, headers and body of a request to a target.
+
+    Args:
+      request: What to ask.
+      remaining_ms: Time until its deadline, milliseconds.
+    """
+    headers = {
+        "Attempt-Id": request.attempt_id,
+        "Deadline-Ms": str(remaining_ms),
+        "Urgency": "urgent" if request.urgent else "ordinary",
+        "Index-Version": str(request.snapshot.index_version),
+        "Map-Version": str(request.snapshot.map_version),
+        "Content-Type": "application/json",
+    }
+    body = {
+        "lookup": request.lookup,
+        "service": request.service,
+        "low": request.key_range.low,
+        "high": request.key_range.high,
+        "parameters": request.parameters,
+    }
+    path = "/v1/read" if request.idempotent else "/v1/write"
+    return path, headers, json.dumps(body, separators=(",", ":")).encode()
+
+
+def decode_reply(
+    request: requests.SubRequest,
+    *,
+    status: int,
+    headers: Headers,
+    body: bytes,
+    elapsed_s: float,
+) -> replies.AttemptResult:
+    """Returns the result that a target's reply stands for.
+
+    Args:
+      request: The sub-request that was sent.
+      status: HTTP status.
+      headers: HTTP headers, case-insensitive.
+      body: Whole body.
+      elapsed_s: Seconds since the send.
+
+    Raises:
+      ReplyError: The reply is not of this attempt or not readable; whether the
+        request ran is unknown.
+    """
+    if headers.get("Attempt-Id") != request.attempt_id:
+        raise ReplyError(
+            f"reply to attempt {headers.get('Attempt-Id')!r} instead of"
+            f" {request.attempt_id!r}"
+        )
+    content = _parse_body(body)
+    report = _parse_report(headers, content)
+    verdict = _RUN_VERDICTS.get(headers.get("Run", ""))
+    if verdict is None:
+        raise ReplyError(f"header Run has the value {headers.get('Run')!r}")
+    if status == 200:
+        return _decode_records(request, content, report, elapsed_s)
+    code = content.get("error")
+    if code not in _ERROR_CODES:
+        raise ReplyError(f"unknown error {code!r} with status {status}")
+    return replies.AttemptResult(
+        attempt_id=request.attempt_id,
+        target=request.target,
+        verdict=verdict,
+        code=code,
+        elapsed_s=elapsed_s,
+        report=report,
+        retry_after_ms=_parse_retry_after(headers),
+        detail=str(content.get("detail", ""))[:200],
+    )
+
+
+def _parse_body(body: bytes) -> dict[str, typing.Any]:
+    try:
+        content = json.loads(body)
+    except ValueError as error:
+        raise ReplyError(f"body is not JSON: {error}") from error
+    if not isinstance(content, dict):
+        raise ReplyError("body is not a JSON object")
+    return content
+
+
+def _parse_report(
+    headers: Headers, content: dict[str, typing.Any]
+) -> requests.TargetReport:
+    state = headers.get("Target-State")
+    if state not in _STATES:
+        raise ReplyError(f"header Target-State has the value {state!r}")
+    try:
+        load = float(headers.get("Target-Load", "0"))
+        holdings = tuple(
+            parse_holding(row) for row in content.get("holdings", ())
+        )
+    except (TypeError, ValueError) as error:
+        raise ReplyError(f"report is not readable: {error}") from error
+    return requests.TargetReport(
+        epoch=headers.get("Target-Epoch", ""),
+        state=state,
+        load=load,
+        holdings=holdings,
+    )
+
+
+def parse_holding(row: collections.abc.Sequence[int]) -> requests.Holding:
+    """Returns a holding from [index_version, map_version, low, high].
+
+    Raises:
+      ValueError: The row has another shape or values out of range.
+    """
+    index_version, map_version, low, high = row
+    return requests.Holding(
+        snapshot=requests.Snapshot(
+            index_version=int(index_version), map_version=int(map_version)
+        ),
+        key_range=ranges.KeyRange(low=int(low), high=int(high)),
+    )
+
+
+def _decode_records(
+    request: requests.SubRequest,
+    content: dict[str, typing.Any],
+    report: requests.TargetReport,
+    elapsed_s: float,
+) -> replies.AttemptResult:
+    try:
+        if content["attempt_id"] != request.attempt_id:
+            raise ReplyError("attempt id in the body differs from the header")
+        key_range = ranges.KeyRange(low=content["low"], high=content["high"])
+        snapshot = requests.Snapshot(
+            index_version=int(content["index_version"]),
+            map_version=int(content["map_version"]),
+        )
+        records = tuple((int(key), value) for key, value in content["records"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise ReplyError(f"reply is not readable: {error!r}") from error
+    return replies.AttemptResult(
+        attempt_id=request.attempt_id,
+        target=request.target,
+        verdict=verdicts.Verdict.RAN,
+        code="ok",
+        elapsed_s=elapsed_s,
+        key_range=key_range,
+        snapshot=snapshot,
+        answers=records,
+        report=report,
+    )
+
+
+def _parse_retry_after(headers: Headers) -> int | None:
+    text = headers.get("Retry-After-Ms", "")
+    return int(text) if text.isdigit() else None
--- /dev/null
+++ b/src/bramleyfork/controllers/_owned_target.py
@@ -0,0 +1,95 @@
+"""Working state of one target that this host has a share of."""
+
+from bramleyfork.core import declarations
+from bramleyfork.core import requests
+from bramleyfork.decisions import latencies
+from bramleyfork.decisions import queues
+from bramleyfork.decisions import shares
+from bramleyfork.decisions import warmup
+
+# Sub-requests held per in-flight place of the share; more would wait longer
+# than callers do.
+_QUEUE_FACTOR = 8
+
+
+class OwnedTarget:
+    """A target's share, queue, warm-up and requests in flight.
+
+    The ownership controller alone changes it, in place, as it is touched
+    several times per sub-request; others read counts from it.
+
+    Attributes:
+      name: Name of the target.
+      address: address:port.
+      service: What the target bears.
+      share: This host's share in force.
+      gained_share: The share to take up at ``gained_at``, or None.
+      gained_at: Monotonic seconds.
+      queue: Sub-requests that wait.
+      in_flight: Sent and unanswered sub-requests by attempt id.
+      exclusive: Whether the one in flight must stay alone.
+      warmth: Progress of its warm-up.
+      latency: Recent latencies.
+    """
+
+    __slots__ = (
+        "name",
+        "address",
+        "service",
+        "share",
+        "gained_share",
+        "gained_at",
+        "queue",
+        "in_flight",
+        "exclusive",
+        "warmth",
+        "latency",
+        "_report_key",
+    )
+
+    def __init__(self, *, name: str):
+        self.name = name
+        self.address = ""
+        self.service: declarations.Service | None = None
+        self.share = shares.NO_SHARE
+        self.gained_share: shares.Share | None = None
+        self.gained_at = 0.0
+        self.queue = queues.SubRequestQueue(limit=0)
+        self.in_flight: dict[str, requests.SubRequest] = {}
+        self.exclusive = False
+        self.warmth = warmup.Warmth()
+        self.latency = latencies.LatencyWindow()
+        self._report_key: tuple | None = None
+
+    def change_share(self, share: shares.Share, now: float) -> None:
+        """Gives up what is lost at once and books what is gained."""
+        self._use_share(shares.intersect_shares(self.share, share))
+        self.gained_share = None
+        if share != self.share:
+            self.gained_share = share
+            self.gained_at = now + shares.GAIN_DELAY_S
+
+    def take_up_share(self, now: float) -> None:
+        """Takes up a gained share once its delay has passed."""
+        if self.gained_share is not None and now >= self.gained_at:
+            self._use_share(self.gained_share)
+            self.gained_share = None
+
+    def drain_queue(self) -> list[requests.SubRequest]:
+        """Removes and returns all that waits."""
+        drained = []
+        while (request := self.queue.take()) is not None:
+            drained.append(request)
+        return drained
+
+    def note_report(self, report: requests.TargetReport) -> bool:
+        """Returns whether the target's word differs from the last one."""
+        key = (report.epoch, report.state, report.holdings)
+        if key == self._report_key:
+            return False
+        self._report_key = key
+        return True
+
+    def _use_share(self, share: shares.Share) -> None:
+        self.share = share
+        self.queue.limit = _QUEUE_FACTOR * share.in_flight
--- /dev/null
+++ b/src/bramleyfork/controllers/_sender.py
@@ -0,0 +1,124 @@
+"""Sends a router's attempts and cancellations."""
+
+from bramleyfork.controllers import _fleet_view
+from bramleyfork.controllers import _route
+from bramleyfork.core import blackboard
+from bramleyfork.core import requests
+from bramleyfork.decisions import fingerprints
+
+
+class Sender:
+    """Chooses targets and owners and collects what goes out.
+
+    Args:
+      host: Name of this host.
+      incarnation: Incarnation of this process; makes attempt ids unique.
+      view: What the router knows of the fleet.
+      members: The section ``members``.
+    """
+
+    __slots__ = (
+        "outgoing",
+        "sent",
+        "_host",
+        "_incarnation",
+        "_view",
+        "_members",
+    )
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        incarnation: int,
+        view: _fleet_view.FleetView,
+        members: blackboard.Table,
+    ):
+        self.outgoing: list[requests.SubRequest | requests.Cancel] = []
+        self.sent = 0
+        self._host = host
+        self._incarnation = incarnation
+        self._view = view
+        self._members = members
+
+    def take_outgoing(self) -> list[requests.SubRequest | requests.Cancel]:
+        """Returns what has been collected since the last call."""
+        taken, self.outgoing = self.outgoing, []
+        return taken
+
+    def choose(
+        self, segment: _route.Segment, now: float
+    ) -> tuple[str, str] | None:
+        """Returns the next target and owner for a segment, or None."""
+        candidates = [
+            c for c in segment.plan.candidates if c not in segment.tried
+        ]
+        members = self._members.copy_records()
+        while candidates:
+            target = self._view.choose_target(candidates, now)
+            owner = self._view.find_owner(
+                target, members, segment.refused_owners, now
+            )
+            if owner is not None:
+                return target, owner
+            candidates.remove(target)
+        return None
+
+    def send(
+        self,
+        route: _route.Route,
+        segment: _route.Segment,
+        choice: tuple[str, str],
+        now: float,
+    ) -> None:
+        """Makes one more attempt at a segment."""
+        target, owner = choice
+        self.sent += 1
+        attempt = _route.SegmentAttempt(
+            attempt_id=f"{self._host}.{self._incarnation}.{self.sent}",
+            target=target,
+            owner=owner,
+            sent_at=now,
+        )
+        segment.attempts.append(attempt)
+        segment.tried.add(target)
+        route.by_attempt[attempt.attempt_id] = segment
+        self._view.note_send(target)
+        self.outgoing.append(self._build_request(route, segment, attempt))
+
+    def cancel_open(self, segment: _route.Segment) -> None:
+        """Cancels the attempts of a segment whose replies are awaited."""
+        for attempt in segment.list_open():
+            attempt.open = False
+            self._view.note_end(attempt.target)
+            self.outgoing.append(
+                requests.Cancel(
+                    attempt_id=attempt.attempt_id, owner=attempt.owner
+                )
+            )
+
+    def _build_request(
+        self,
+        route: _route.Route,
+        segment: _route.Segment,
+        attempt: _route.SegmentAttempt,
+    ) -> requests.SubRequest:
+        return requests.SubRequest(
+            attempt_id=attempt.attempt_id,
+            query_id=route.query.query_id,
+            router=self._host,
+            owner=attempt.owner,
+            target=attempt.target,
+            service=segment.plan.service,
+            lookup=route.lookup.name,
+            key_range=segment.plan.key_range,
+            snapshot=route.snapshot,
+            parameters=route.query.parameters,
+            urgent=route.lookup.urgent,
+            idempotent=route.lookup.idempotent,
+            deadline=route.deadline,
+            fingerprint=fingerprints.name_part(
+                route.fingerprint, segment.plan.service
+            ),
+            suspect=segment.suspect,
+        )
--- /dev/null
+++ b/src/bramleyfork/controllers/_tickets.py
@@ -0,0 +1,78 @@
+"""Use of tickets at the router that issued them."""
+
+from bramleyfork.configuration import settings as settings_module
+from bramleyfork.core import blackboard
+from bramleyfork.core import fleet
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+from bramleyfork.decisions import answers
+from bramleyfork.decisions import intake
+from bramleyfork.decisions import tickets
+
+
+class TicketDesk:
+    """Accepts each ticket once and keeps its use until it expires.
+
+    Args:
+      settings: Host, incarnation and key that tickets are checked against.
+      table: The section ``tickets``.
+      writer: The right to write it.
+    """
+
+    __slots__ = ("_settings", "_table", "_writer", "_numbers")
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        table: blackboard.Table,
+        writer: blackboard.TableWriter,
+    ):
+        self._settings = settings
+        self._table = table
+        self._writer = writer
+        self._numbers: dict[str, int] = {}  # Ticket number by query id.
+
+    def accept(
+        self, query: requests.Query, now: float
+    ) -> fleet.TicketUse | replies.Answer:
+        """Marks a query's ticket used, or returns the refusal."""
+        checked = tickets.check_ticket(
+            self._settings.ticket_key,
+            self._settings.host,
+            self._settings.incarnation,
+            query.ticket,
+            int(now * 1000),
+        )
+        if checked.is_error():
+            return answers.build_refusal(
+                query.query_id,
+                checked.error.code,
+                verdict=checked.error.verdict,
+                detail=checked.error.detail,
+            )
+        ticket = checked.ok
+        earlier = self._table.get(ticket.number)
+        if earlier is not None:
+            return intake.refuse_used_ticket(query, earlier)
+        use = fleet.TicketUse(
+            number=ticket.number,
+            query_id=query.query_id,
+            verdict=None,
+            expires_at=ticket.expires_at_ms / 1000,
+        )
+        self._writer.put(ticket.number, use)
+        self._numbers[query.query_id] = ticket.number
+        return use
+
+    def note_verdict(self, query_id: str, verdict: verdicts.Verdict) -> None:
+        """Stores what became of the query that used a ticket."""
+        number = self._numbers.pop(query_id)
+        use = self._table.get(number)
+        if use is not None:
+            self._writer.put(number, use.replace(verdict=verdict))
+
+    def forget(self, number: int) -> None:
+        """Drops an expired ticket; its text is refused by its expiry."""
+        self._writer.remove(number)
--- /dev/null
+++ b/src/bramleyfork/controllers/ownership.py
@@ -0,0 +1,387 @@
+"""Sends sub-requests to the targets that this host has a share of."""
+
+import logging
+import zlib
+
+from bramleyfork.configuration import settings as settings_module
+from bramleyfork.controllers import _owned_target
+from bramleyfork.core import controllers
+from bramleyfork.core import declarations
+from bramleyfork.core import fleet
+from bramleyfork.core import logs
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+from bramleyfork.decisions import admission
+from bramleyfork.decisions import lease as lease_decisions
+from bramleyfork.decisions import shares
+from bramleyfork.decisions import warmup
+
+_DECISIONS = logging.getLogger(logs.DECISIONS)
+
+# Results that show nothing of how fast the target runs requests.
+_UNTIMED = frozenset({"connect_failed", "expired", "cancelled", "shed"})
+
+
+@controllers.register(
+    "ownership",
+    reads=(
+        "subrequests",
+        "peer_subrequests",
+        "attempt_results",
+        "declaration",
+        "targets",
+        "lease",
+    ),
+    peeks=("quarantine",),
+    writes=(
+        "attempts",
+        "subreplies",
+        "owned",
+        "owned_sightings",
+        "suspicions",
+    ),
+    loop=controllers.REQUEST_LOOP,
+)
+class Ownership(controllers.Controller):
+    """Queues, paces and sends sub-requests; answers their routers."""
+
+    __slots__ = (
+        "_declaration",
+        "_owned",
+        "_running",
+        "_busy",
+        "_replies",
+        "_started",
+    )
+
+    settings: settings_module.Settings
+
+    def start(self) -> None:
+        """Sets up empty state."""
+        self._declaration: declarations.Declaration | None = None
+        self._owned: dict[str, _owned_target.OwnedTarget] = {}
+        self._running: dict[str, str] = {}  # Attempt id to target.
+        self._busy: set[str] = set()  # Targets with queued sub-requests.
+        self._replies: list[replies.SubReply] = []
+
+    def step(self, now: float) -> float | None:
+        """Accepts, sends and answers; returns the next timer."""
+        self._follow_declaration(now)
+        for result in self.take("attempt_results"):
+            self._finish_attempt(result, now)
+        for record in self.take("peer_subrequests"):
+            self._accept_record(record, now)
+        for record in self.take("subrequests"):
+            if record.owner == self.settings.host:
+                self._accept_record(record, now)
+        due = [self._dispatch(name, now) for name in list(self._busy)]
+        self.writer("subreplies").extend(self._replies)
+        self._replies = []
+        return min((d for d in due if d is not None), default=None)
+
+    def _follow_declaration(self, now: float) -> None:
+        entry = self.table("declaration").get("in_force")
+        if entry is None or entry.declaration is self._declaration:
+            return
+        first = self._declaration is None
+        self._declaration = entry.declaration
+        for target in entry.declaration.targets.values():
+            self._update_share(target, first, now)
+        for name in set(self._owned) - set(entry.declaration.targets):
+            self._drop_target(name, now)
+
+    def _update_share(
+        self, target: declarations.Target, first: bool, now: float
+    ) -> None:
+        declaration = self._declaration
+        ranked = shares.rank_hosts(target, declaration)
+        if self.settings.host in ranked:
+            share = shares.compute_share(
+                service=declaration.services[target.service],
+                strategy=declaration.strategy,
+                rank=ranked.index(self.settings.host),
+                host_count=len(ranked),
+            )
+        else:
+            share = shares.NO_SHARE
+        owned = self._owned.get(target.name)
+        if owned is None and share == shares.NO_SHARE:
+            return
+        if owned is None:
+            owned = _owned_target.OwnedTarget(name=target.name)
+            self._owned[target.name] = owned
+            self.writer("owned").put(target.name, owned)
+        owned.address = target.address
+        owned.service = declaration.services[target.service]
+        owned.change_share(share, now)
+        if not first:
+            return
+        # The process before this one on this host may have requests running,
+        # so a starting process waits as for a gained share.
+        _DECISIONS.info(
+            "share assigned",
+            extra={"target": target.name, "in_flight": share.in_flight},
+        )
+
+    def _drop_target(self, name: str, now: float) -> None:
+        owned = self._owned[name]
+        owned.change_share(shares.NO_SHARE, now)
+        for request in owned.drain_queue():
+            self._refuse(request, "no_share", now)
+        self._busy.discard(name)
+        if not owned.in_flight:
+            del self._owned[name]
+            self.writer("owned").remove(name)
+
+    def _accept_record(
+        self, record: requests.SubRequest | requests.Cancel, now: float
+    ) -> None:
+        if isinstance(record, requests.Cancel):
+            self._cancel(record.attempt_id)
+            return
+        owned = self._owned.get(record.target)
+        if owned is None:
+            self._refuse(record, "no_share", now)
+            return
+        owned.take_up_share(now)
+        code = admission.find_refusal(
+            record,
+            share=owned.share,
+            status=self.table("targets").get(record.target),
+            quarantined=self.table("quarantine").get(record.fingerprint),
+            latency=owned.latency,
+            now=now,
+        )
+        if code is not None:
+            self._refuse(record, code, now)
+            return
+        shed = owned.queue.add(record)
+        if shed is not None:
+            self._refuse(shed, "queue_full", now)
+        self._busy.add(record.target)
+
+    def _cancel(self, attempt_id: str) -> None:
+        target = self._running.get(attempt_id)
+        if target is None:
+            for name in self._busy:
+                if self._owned[name].queue.remove(attempt_id) is not None:
+                    return
+            return
+        owned = self._owned.get(target)
+        if owned is None:
+            return
+        request = owned.in_flight[attempt_id]
+        self.writer("attempts").append(
+            self._build_attempt(owned, request, cancel=True)
+        )
+
+    def _dispatch(self, name: str, now: float) -> float | None:
+        """Sends what may be sent; returns when to look again."""
+        owned = self._owned[name]
+        for request in owned.queue.take_expired(now):
+            self._refuse(request, "expired", now)
+        status = self.table("targets").get(name)
+        if status is not None and status.state != "usable":
+            for request in owned.drain_queue():
+                code = "leaving" if status.state == "leaving" else "target_out"
+                self._refuse(request, code, now)
+        while len(owned.queue):
+            if not self._may_start(now):
+                self._refuse(owned.queue.take(), "no_lease", now)
+                continue
+            due = self._find_send_time(owned, now)
+            if due is None:
+                return owned.queue.find_earliest_deadline()
+            if due > now:
+                return min(due, owned.queue.find_earliest_deadline())
+            self._send(owned, owned.queue.take(), now)
+        self._busy.discard(name)
+        return None
+
+    def _may_start(self, now: float) -> bool:
+        return lease_decisions.may_start(
+            self.table("lease").get("current"), now
+        )
+
+    def _find_send_time(
+        self, owned: _owned_target.OwnedTarget, now: float
+    ) -> float | None:
+        if len(self._running) >= self.settings.target_threads:
+            return None
+        if owned.exclusive:
+            return None
+        request = owned.queue.peek()
+        entry = self.table("quarantine").get(request.fingerprint)
+        if admission.must_run_alone(request, entry) and owned.in_flight:
+            return None
+        return warmup.find_send_time(
+            owned.warmth,
+            share=owned.share,
+            in_flight=len(owned.in_flight),
+            now=now,
+        )
+
+    def _send(
+        self,
+        owned: _owned_target.OwnedTarget,
+        request: requests.SubRequest,
+        now: float,
+    ) -> None:
+        entry = self.table("quarantine").get(request.fingerprint)
+        owned.exclusive = admission.must_run_alone(request, entry)
+        owned.in_flight[request.attempt_id] = request
+        self._running[request.attempt_id] = owned.name
+        warmup.note_send(owned.warmth, share=owned.share, now=now)
+        self.writer("attempts").append(self._build_attempt(owned, request))
+
+    def _build_attempt(
+        self,
+        owned: _owned_target.OwnedTarget,
+        request: requests.SubRequest,
+        cancel: bool = False,
+    ) -> replies.Attempt:
+        return replies.Attempt(
+            attempt_id=request.attempt_id,
+            address=owned.address,
+            connections=max(1, owned.share.connections),
+            request=request,
+            cancel=cancel,
+        )
+
+    def _finish_attempt(
+        self, result: replies.AttemptResult, now: float
+    ) -> None:
+        name = self._running.pop(result.attempt_id, None)
+        if name is None:
+            return
+        owned = self._owned[name]
+        if len(owned.queue):
+            self._busy.add(name)
+        if result.code == "died":
+            self._note_death(owned, now)
+        request = owned.in_flight.pop(result.attempt_id)
+        alone = owned.exclusive
+        owned.exclusive = False
+        self._update_target(owned, result, now)
+        if alone and result.code == "ok":
+            self.writer("suspicions").append(
+                fleet.SuspectCleared(
+                    fingerprint=request.fingerprint, target=name
+                )
+            )
+        self._replies.append(_build_reply(request, result, len(owned.queue)))
+        if name not in self._declaration.targets and not owned.in_flight:
+            del self._owned[name]
+            self.writer("owned").remove(name)
+
+    def _note_death(self, owned: _owned_target.OwnedTarget, now: float) -> None:
+        warmup.restart(owned.warmth, "connection broke during a request")
+        if not owned.in_flight:
+            return
+        fingerprints = {r.fingerprint for r in owned.in_flight.values()}
+        self.writer("suspicions").append(
+            fleet.TargetDeath(
+                target=owned.name,
+                fingerprints=tuple(sorted(fingerprints)),
+                died_at=now,
+            )
+        )
+        _DECISIONS.info(
+            "target lost with requests in flight",
+            extra={"target": owned.name, "in_flight": len(owned.in_flight)},
+        )
+
+    def _update_target(
+        self,
+        owned: _owned_target.OwnedTarget,
+        result: replies.AttemptResult,
+        now: float,
+    ) -> None:
+        if result.code == "connect_failed":
+            warmup.restart(owned.warmth, "connection refused")
+            return
+        if result.report is None:
+            return
+        before = owned.warmth.state
+        warmup.note_reply(
+            owned.warmth,
+            now=now,
+            epoch=result.report.epoch,
+            reported_state=result.report.state,
+            cold_period_s=owned.service.cold_period_s,
+            jumped=warmup.detect_jump(
+                result.elapsed_s, owned.latency.mean_s, owned.latency.count
+            ),
+        )
+        if owned.warmth.state != before:
+            _DECISIONS.info(
+                "target warmth changed",
+                extra={
+                    "target": owned.name,
+                    "state": owned.warmth.state,
+                    "reason": owned.warmth.reason,
+                },
+            )
+        if result.code not in _UNTIMED:
+            owned.latency.record(result.elapsed_s)
+        if owned.note_report(result.report):
+            self.writer("owned_sightings").append(
+                fleet.Sighting(
+                    target=owned.name, report=result.report, seen_at=now
+                )
+            )
+
+    def _refuse(
+        self, request: requests.SubRequest, code: str, now: float
+    ) -> None:
+        """Answers a sub-request that was never sent to its target."""
+        owned = self._owned.get(request.target)
+        length = len(owned.queue) if owned is not None else 0
+        retry_after_ms = None
+        if owned is not None and code == "queue_full":
+            retry_after_ms = admission.estimate_retry_after(
+                length,
+                owned.latency.mean_s,
+                owned.service.slots,
+                zlib.crc32(request.query_id.encode()) % 1000 / 1000,
+            )
+        self._replies.append(
+            replies.SubReply(
+                attempt_id=request.attempt_id,
+                query_id=request.query_id,
+                router=request.router,
+                owner=request.owner,
+                target=request.target,
+                verdict=verdicts.Verdict.NOT_RUN,
+                code=code,
+                key_range=None,
+                snapshot=None,
+                queue_length=length,
+                retry_after_ms=retry_after_ms,
+            )
+        )
+
+
+def _build_reply(
+    request: requests.SubRequest,
+    result: replies.AttemptResult,
+    queue_length: int,
+) -> replies.SubReply:
+    return replies.SubReply(
+        attempt_id=request.attempt_id,
+        query_id=request.query_id,
+        router=request.router,
+        owner=request.owner,
+        target=request.target,
+        verdict=result.verdict,
+        code=result.code,
+        key_range=result.key_range,
+        snapshot=result.snapshot,
+        answers=result.answers,
+        report=result.report,
+        queue_length=queue_length,
+        service_s=result.elapsed_s,
+        retry_after_ms=result.retry_after_ms,
+        detail=result.detail,
+    )
--- /dev/null
+++ b/src/bramleyfork/controllers/routing.py
@@ -0,0 +1,499 @@
+"""Splits queries into sub-requests and joins their replies to answers."""
+
+import logging
+
+from bramleyfork.configuration import settings as settings_module
+from bramleyfork.controllers import _fleet_view
+from bramleyfork.controllers import _route
+from bramleyfork.controllers import _sender
+from bramleyfork.controllers import _tickets
+from bramleyfork.controllers import _timers
+from bramleyfork.core import controllers
+from bramleyfork.core import fleet
+from bramleyfork.core import logs
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+from bramleyfork.decisions import answers
+from bramleyfork.decisions import budgets
+from bramleyfork.decisions import canaries
+from bramleyfork.decisions import fingerprints
+from bramleyfork.decisions import hedging
+from bramleyfork.decisions import intake
+from bramleyfork.decisions import retries
+
+_DECISIONS = logging.getLogger(logs.DECISIONS)
+
+# Time kept for assembling and sending an answer before the caller's deadline.
+_ANSWER_MARGIN_S = 0.01
+# Extra attempts a quiet host may make at once.
+_BUDGET_RESERVE = 20.0
+# Part of the deadline that must be left to start again on a newer snapshot.
+_RESTART_PART = 0.5
+
+_HEDGE = "hedge"
+_RETRY = "retry"
+_FINISH = "finish"
+_RELEASE = "release"
+_FORGET = "forget"
+
+
+@controllers.register(
+    "routing",
+    reads=("queries", "subreplies", "peer_subreplies", "declaration"),
+    peeks=("targets", "members", "lease", "quarantine"),
+    writes=("subrequests", "answers", "routes", "sightings", "tickets"),
+    loop=controllers.REQUEST_LOOP,
+)
+class Routing(controllers.Controller):
+    """Serves each query from one snapshot until its deadline."""
+
+    __slots__ = (
+        "counters",
+        "_view",
+        "_sender",
+        "_tickets",
+        "_timers",
+        "_trusted",
+        "_hedges",
+        "_retries",
+        "_answers",
+    )
+
+    settings: settings_module.Settings
+
+    def start(self) -> None:
+        """Sets up empty state."""
+        self.counters = dict.fromkeys(
+            ("hedges", "retries", "restarts", "late_replies"), 0
+        )
+        self._view = _fleet_view.FleetView(
+            host=self.settings.host, seed=self.settings.incarnation
+        )
+        self._sender = _sender.Sender(
+            host=self.settings.host,
+            incarnation=self.settings.incarnation,
+            view=self._view,
+            members=self.table("members"),
+        )
+        self._tickets = _tickets.TicketDesk(
+            settings=self.settings,
+            table=self.table("tickets"),
+            writer=self.writer("tickets"),
+        )
+        self._timers = _timers.Timers()
+        self._trusted = canaries.TrustedFingerprints()
+        self._hedges = budgets.Budget(ratio=0.0, reserve=_BUDGET_RESERVE)
+        self._retries = budgets.Budget(ratio=0.0, reserve=_BUDGET_RESERVE)
+        self._answers: list[replies.Answer] = []
+
+    def step(self, now: float) -> float | None:
+        """Starts queries, takes replies, serves timers."""
+        self._follow_declaration()
+        for reply in self.take("subreplies"):
+            if reply.router == self.settings.host:
+                self._take_reply(reply, now)
+        for reply in self.take("peer_subreplies"):
+            self._take_reply(reply, now)
+        for query in self.take("queries"):
+            self._start_route(query, now)
+        for kind, query_id, index in self._timers.take_due(now):
+            self._serve_timer(kind, query_id, index, now)
+        self.writer("subrequests").extend(self._sender.take_outgoing())
+        self.writer("answers").extend(self._answers)
+        self._answers = []
+        return self._timers.find_next()
+
+    def _follow_declaration(self) -> None:
+        entry = self.table("declaration").get("in_force")
+        if entry is None or entry.declaration is self._view.declaration:
+            return
+        self._view.use_declaration(entry.declaration)
+        self._hedges.ratio = entry.declaration.hedge_budget
+        self._retries.ratio = entry.declaration.retry_budget
+
+    # Start of a query.
+
+    def _start_route(self, query: requests.Query, now: float) -> None:
+        refusal = intake.find_refusal(
+            query,
+            declaration=self._view.declaration,
+            lease=self.table("lease").get("current"),
+            host=self.settings.host,
+            now=now + _ANSWER_MARGIN_S,
+        )
+        if refusal is not None:
+            self._answers.append(refusal)
+            return
+        route = _route.Route(
+            query=query,
+            lookup=self._view.declaration.lookups[query.lookup],
+            fingerprint=fingerprints.compute_fingerprint(query),
+            deadline=query.deadline - _ANSWER_MARGIN_S,
+        )
+        refusal = self._find_refusal(route, now)
+        if refusal is not None:
+            self._answers.append(refusal)
+            return
+        self.writer("routes").put(query.query_id, route)
+        self._timers.add(route.deadline, _FINISH, query.query_id, 0)
+        self._use_plan(route, now)
+
+    def _find_refusal(
+        self, route: _route.Route, now: float
+    ) -> replies.Answer | None:
+        """Returns a refusal for a crashing request or a spent ticket."""
+        refusal = intake.find_quarantine(
+            route.query.query_id,
+            route.fingerprint,
+            route.lookup.services,
+            self.table("quarantine").copy_records(),
+        )
+        if refusal is not None or route.lookup.idempotent:
+            return refusal
+        accepted = self._tickets.accept(route.query, now)
+        if isinstance(accepted, replies.Answer):
+            return accepted
+        self._timers.add(accepted.expires_at, _FORGET, "", accepted.number)
+        return None
+
+    def _use_plan(self, route: _route.Route, now: float) -> None:
+        """Fixes snapshot and segments and sends the first attempts."""
+        targets = self.table("targets")
+        plan = self._view.find_plan(
+            route.lookup,
+            targets.copy_records(),
+            targets.version,
+            frozenset(route.tried_snapshots),
+        )
+        route.use_plan(plan)
+        if not route.segments:
+            route.detail = "no target holds any of the wanted keys"
+            self._finish(route)
+            return
+        first = self._hold_back(route, now)
+        chosen = [self._send_segment(route, s, now) for s in first]
+        _DECISIONS.info(
+            "query routed",
+            extra={
+                "query": route.query.query_id,
+                "lookup": route.lookup.name,
+                "index_version": plan.snapshot.index_version,
+                "map_version": plan.snapshot.map_version,
+                "sent": [c for c in chosen if c is not None],
+                "held_back": len(route.waiting),
+            },
+        )
+        self._finish_if_settled(route, now)
+
+    def _hold_back(
+        self, route: _route.Route, now: float
+    ) -> list[_route.Segment]:
+        """Returns the segments to send at once.
+
+        A request that has not completed here before goes to one target first,
+        so that one that crashes targets does not reach them all at once.
+        """
+        known_good = self._trusted.has(
+            route.fingerprint
+        ) and not intake.has_entry(
+            route.fingerprint,
+            route.lookup.services,
+            self.table("quarantine").copy_records(),
+        )
+        if len(route.segments) == 1 or known_good:
+            return route.segments
+        index = self._view.choose_segment(len(route.segments))
+        canary = route.segments[index]
+        route.waiting = [s for s in route.segments if s is not canary]
+        window = self._view.service_latency[canary.plan.service]
+        delay = canaries.find_release_delay(window, route.deadline - now)
+        self._timers.add(now + delay, _RELEASE, route.query.query_id, 0)
+        return [canary]
+
+    def _release(self, route: _route.Route, now: float) -> None:
+        """Sends the segments that waited for the first target's answer."""
+        waiting, route.waiting = route.waiting, []
+        for segment in waiting:
+            self._send_segment(route, segment, now)
+        self._finish_if_settled(route, now)
+
+    def _send_segment(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> tuple[str, str] | None:
+        """Makes the next attempt; returns target and owner, or None.
+
+        A segment without a usable target and owner is given up, unless an
+        attempt is still open.
+        """
+        choice = self._sender.choose(segment, now)
+        if choice is None:
+            if not segment.list_open():
+                route.give_up(segment)
+            return None
+        first = not segment.attempts
+        self._sender.send(route, segment, choice, now)
+        if first:
+            self._hedges.earn()
+            self._retries.earn()
+            self._plan_hedge(route, segment, now)
+        return choice
+
+    def _plan_hedge(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> None:
+        if not route.lookup.idempotent or len(segment.plan.candidates) < 2:
+            return
+        delay = hedging.find_hedge_delay(
+            self._view.service_latency[segment.plan.service],
+            self._view.declaration.hedge_percentile,
+        )
+        if delay is not None and now + delay < route.deadline:
+            index = route.segments.index(segment)
+            self._timers.add(now + delay, _HEDGE, route.query.query_id, index)
+
+    # Timers.
+
+    def _serve_timer(
+        self, kind: str, query_id: str, index: int, now: float
+    ) -> None:
+        if kind == _FORGET:
+            self._tickets.forget(index)
+            return
+        route = self.table("routes").get(query_id)
+        if route is None:
+            return
+        if kind == _FINISH:
+            self._finish(route)
+        elif kind == _RELEASE:
+            if not route.has_suspect():
+                self._release(route, now)
+        elif index < len(route.segments):
+            self._serve_segment_timer(kind, route, route.segments[index], now)
+
+    def _serve_segment_timer(
+        self,
+        kind: str,
+        route: _route.Route,
+        segment: _route.Segment,
+        now: float,
+    ) -> None:
+        if kind == _HEDGE:
+            self._hedge(route, segment, now)
+            return
+        if segment.retry_pending and not segment.settled:
+            segment.retry_pending = False
+            self._send_segment(route, segment, now)
+            self._finish_if_settled(route, now)
+
+    def _hedge(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> None:
+        """Asks another replica as well when the first one is slow."""
+        if segment.settled or segment.suspect or len(segment.attempts) != 1:
+            return
+        first = segment.attempts[0]
+        self._view.judge_silence(first.owner, first.sent_at, now)
+        if not self._hedges.spend():
+            return
+        choice = self._send_segment(route, segment, now)
+        if choice is None:
+            return
+        self.counters["hedges"] += 1
+        _log_attempt("segment hedged", route, segment, choice, "slow")
+
+    # Replies.
+
+    def _take_reply(self, reply: replies.SubReply, now: float) -> None:
+        """Matches a reply with its attempt; drops it if none is waiting."""
+        route = self.table("routes").get(reply.query_id)
+        segment = route and route.by_attempt.get(reply.attempt_id)
+        attempt = segment and segment.find_open(reply.attempt_id)
+        if not attempt or attempt.target != reply.target:
+            self.counters["late_replies"] += 1
+            return
+        attempt.open = False
+        attempt.verdict = reply.verdict
+        self._view.note_end(reply.target)
+        if self._view.note_reply(reply, now - attempt.sent_at, now):
+            self.writer("sightings").append(
+                fleet.Sighting(
+                    target=reply.target, report=reply.report, seen_at=now
+                )
+            )
+        if segment.settled:
+            return
+        if reply.code == "ok" and answers.is_valid_part(
+            reply, snapshot=route.snapshot, key_range=segment.plan.key_range
+        ):
+            self._take_part(route, segment, reply, now)
+        else:
+            self._take_failure(route, segment, reply, now)
+        self._finish_if_settled(route, now)
+
+    def _take_part(
+        self,
+        route: _route.Route,
+        segment: _route.Segment,
+        reply: replies.SubReply,
+        now: float,
+    ) -> None:
+        segment.part = reply
+        route.unsettled -= 1
+        self._sender.cancel_open(segment)
+        if route.waiting:
+            self._release(route, now)
+
+    def _take_failure(
+        self,
+        route: _route.Route,
+        segment: _route.Segment,
+        reply: replies.SubReply,
+        now: float,
+    ) -> None:
+        route.detail = f"{segment.plan.service}: {reply.code} {reply.detail}"
+        if reply.code == "quarantined":
+            self._finish_quarantined(route)
+            return
+        segment.note_failure(reply)
+        if segment.suspect:
+            self._trusted.remove(route.fingerprint)
+        if segment.list_open() or self._retry(route, segment, reply, now):
+            return
+        if segment.wrong_snapshot and self._restart(route, now):
+            return
+        route.give_up(segment)
+
+    def _retry(
+        self,
+        route: _route.Route,
+        segment: _route.Segment,
+        reply: replies.SubReply,
+        now: float,
+    ) -> bool:
+        """Makes or schedules one more attempt; returns whether it did."""
+        if not retries.may_repeat(reply, idempotent=route.lookup.idempotent):
+            return False
+        free = retries.is_free(reply)
+        if not free and len(segment.attempts) > retries.MOST_EXTRA_ATTEMPTS:
+            return False
+        choice = self._sender.choose(segment, now)
+        due = retries.find_retry_time(
+            reply, has_choice=choice is not None, now=now
+        )
+        if due is None or due >= route.deadline:
+            return False
+        if not free and not self._retries.spend():
+            return False
+        self.counters["retries"] += 1
+        if due > now:
+            segment.schedule_retry()
+            index = route.segments.index(segment)
+            self._timers.add(due, _RETRY, route.query.query_id, index)
+            return True
+        _log_attempt("segment retried", route, segment, choice, reply.code)
+        return self._send_segment(route, segment, now) is not None
+
+    def _restart(self, route: _route.Route, now: float) -> bool:
+        """Starts the whole query again on a newer snapshot, if there is one."""
+        total = route.query.deadline - route.query.received_at
+        if route.deadline - now < _RESTART_PART * total:
+            return False
+        targets = self.table("targets")
+        excluded = frozenset(route.tried_snapshots | {route.snapshot})
+        plan = self._view.find_plan(
+            route.lookup, targets.copy_records(), targets.version, excluded
+        )
+        if plan.snapshot is None or plan.snapshot < route.snapshot:
+            return False
+        if not retries.may_restart(
+            route.list_verdicts(), idempotent=route.lookup.idempotent
+        ):
+            return False
+        self.counters["restarts"] += 1
+        _DECISIONS.info(
+            "query restarted on a newer snapshot",
+            extra={"query": route.query.query_id},
+        )
+        for segment in route.segments:
+            self._sender.cancel_open(segment)
+        route.tried_snapshots.add(route.snapshot)
+        self._use_plan(route, now)
+        return True
+
+    # End of a query.
+
+    def _finish_if_settled(self, route: _route.Route, now: float) -> None:
+        if route.unsettled == 0:
+            self._finish(route)
+        elif route.waiting and route.unsettled == len(route.waiting):
+            if route.has_suspect():
+                self._finish(route)
+                return
+            # The first target could not be read, but nothing crashed; the
+            # other segments can still be read.
+            self._release(route, now)
+
+    def _finish(self, route: _route.Route) -> None:
+        """Answers with what has been read."""
+        answer = answers.build_answer(
+            query_id=route.query.query_id,
+            snapshot=route.snapshot,
+            asked=route.asked,
+            parts=route.list_parts(),
+            attempts=route.list_verdicts(),
+            detail=route.detail,
+        )
+        if answer.code == "ok":
+            self._trusted.add(route.fingerprint)
+        self._close(route, answer)
+
+    def _finish_quarantined(self, route: _route.Route) -> None:
+        self._trusted.remove(route.fingerprint)
+        answer = answers.build_refusal(
+            route.query.query_id,
+            "quarantined",
+            verdict=verdicts.combine_attempts(route.list_verdicts()),
+            detail=route.detail,
+        )
+        self._close(route, answer)
+
+    def _close(self, route: _route.Route, answer: replies.Answer) -> None:
+        query_id = route.query.query_id
+        if self.table("routes").get(query_id) is not route:
+            return
+        self.writer("routes").remove(query_id)
+        for segment in route.segments:
+            self._sender.cancel_open(segment)
+        if not route.lookup.idempotent:
+            self._tickets.note_verdict(query_id, answer.verdict)
+        self._answers.append(answer)
+        _DECISIONS.info(
+            "query answered",
+            extra={
+                "query": query_id,
+                "code": answer.code,
+                "verdict": answer.verdict.value,
+                "coverage": round(answer.coverage, 4),
+                "detail": answer.detail,
+            },
+        )
+
+
+def _log_attempt(
+    message: str,
+    route: _route.Route,
+    segment: _route.Segment,
+    choice: tuple[str, str],
+    reason: str,
+) -> None:
+    _DECISIONS.info(
+        message,
+        extra={
+            "query": route.query.query_id,
+            "service": segment.plan.service,
+            "target": choice[0],
+            "owner": choice[1],
+            "reason": reason,
+        },
+    )
--- a/src/bramleyfork/core/fleet.py
+++ b/src/bramleyfork/core/fleet.py
@@ -3,6 +3,7 @@
 from bramleyfork.core import declarations
 from bramleyfork.core import records
 from bramleyfork.core import requests
+from bramleyfork.core import verdicts
 
 
 class Member(records.Record):
@@ -351,3 +352,34 @@
     ):
         self.fingerprint = fingerprint
         self.target = target
+
+
+class TicketUse(records.Record):
+    """A ticket that was presented to this process.
+
+    Attributes:
+      number: Number of the ticket.
+      query_id: Query that used it.
+      verdict: What became of it; None while it runs.
+      expires_at: When the ticket ends, monotonic seconds.
+    """
+
+    __slots__ = (
+        "number",
+        "query_id",
+        "verdict",
+        "expires_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        query_id: str,
+        verdict: verdicts.Verdict | None,
+        expires_at: float,
+    ):
+        self.number = number
+        self.query_id = query_id
+        self.verdict = verdict
+        self.expires_at = expires_at
--- a/src/bramleyfork/core/logs.py
+++ b/src/bramleyfork/core/logs.py
@@ -45,13 +45,12 @@
 def build_entry(record: logging.LogRecord) -> dict[str, typing.Any]:
     """Returns a log record and its extra fields as a mapping."""
     entry = {
-      "time": time.strftime(
-          "%Y-%m-%dT%H:%M:%S", time.gmtime(record.created)
-      ) + f".{int(record.msecs):03d}Z",
-      "level": record.levelname,
-      "logger": record.name,
-      "message": record.getMessage(),
-  }  # fmt: skip
+        "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        + f".{int(record.msecs):03d}Z",
+        "level": record.levelname,
+        "logger": record.name,
+        "message": record.getMessage(),
+    }
     for name, value in vars(record).items():
         if name not in _STANDARD_FIELDS:
             entry[name] = value
--- a/src/bramleyfork/core/loops.py
+++ b/src/bramleyfork/core/loops.py
@@ -59,8 +59,14 @@
     """
 
     __slots__ = (
-      "name", "last_turn", "_members", "_clock", "_signal", "_due", "_thread",
-  )  # fmt: skip
+        "name",
+        "last_turn",
+        "_members",
+        "_clock",
+        "_signal",
+        "_due",
+        "_thread",
+    )
 
     def __init__(
         self,
--- a/src/bramleyfork/core/replies.py
+++ b/src/bramleyfork/core/replies.py
@@ -16,7 +16,8 @@
     "died",
     "timeout",
     "cancelled",
-    "expired",  # The deadline or the lease ended before the send.
+    "expired",  # The deadline passed before the send.
+    "no_lease",  # The host may not start work on targets.
     "queue_full",
     "no_share",  # The host has no share of the target.
     "target_out",
--- /dev/null
+++ b/src/bramleyfork/daemon.py
@@ -0,0 +1,154 @@
+"""The daemon ``bramleyforkd``: one host's process."""
+
+import signal
+import sys
+import threading
+
+from absl import app
+from absl import flags
+
+from bramleyfork.configuration import settings as settings_module
+from bramleyfork.controllers import catalogue as controller_catalogue
+from bramleyfork.core import blackboard
+from bramleyfork.core import clocks
+from bramleyfork.core import controllers
+from bramleyfork.core import fleet
+from bramleyfork.core import logs
+from bramleyfork.core import loops
+from bramleyfork.core import sections
+from bramleyfork.core import transports
+from bramleyfork.transports import catalogue as transport_catalogue
+
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "TOML file with the settings of this host."
+)
+
+# A thread that holds the interpreter gives it up after this time if another
+# one waits. With the default of 5 ms a sub-request waited that long at each
+# change of thread.
+_SWITCH_INTERVAL_S = 0.0005
+
+_EXIT_OK = 0
+_EXIT_SETTINGS = 2
+
+
+class Daemon:
+    """All parts of one host's process.
+
+    Args:
+      settings: Checked settings.
+      recent: Handler that keeps recent decisions.
+      clock: Source of monotonic time.
+    """
+
+    __slots__ = (
+        "board",
+        "_signals",
+        "_loops",
+        "_transports",
+        "_clock",
+        "_stopped",
+        "_lifecycle",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        recent: logs.RecentDecisions,
+        clock: clocks.Clock,
+    ):
+        self._clock = clock
+        self.board = blackboard.Blackboard(sections=sections.SECTIONS)
+        self._signals = self.board.grant_writer("signals", "process")
+        self._lifecycle = self.board.find_table("lifecycle")
+        self._stopped = threading.Event()
+        self._lifecycle.add_listener(self._watch_lifecycle)
+        members = [
+            controller_class(board=self.board, settings=settings)
+            for _, controller_class in controllers.CONTROLLERS.list_items()
+        ]
+        self._transports = [
+            transport_class(board=self.board, settings=settings, clock=clock)
+            for _, transport_class in transports.TRANSPORTS.list_items()
+        ]
+        self._loops = [
+            loops.Loop(
+                name=name,
+                board=self.board,
+                members=[m for m in members if m.loop == name],
+                clock=clock,
+            )
+            for name in (controllers.REQUEST_LOOP, controllers.CONTROL_LOOP)
+        ]
+        del recent
+
+    def start(self) -> None:
+        """Starts loops, then transports."""
+        for loop in self._loops:
+            loop.start()
+        for transport in self._transports:
+            transport.start()
+
+    def request_stop(self) -> None:
+        """Begins a graceful shutdown."""
+        self._signals.append(
+            fleet.ProcessSignal(
+                kind="terminate", at=self._clock.read_monotonic()
+            )
+        )
+
+    def wait_until_stopped(self) -> None:
+        """Returns once the lifecycle has reached its end."""
+        self._stopped.wait()
+
+    def stop(self) -> None:
+        """Closes listeners and connections and ends the threads."""
+        for transport in self._transports:
+            transport.stop()
+        for loop in self._loops:
+            loop.stop()
+
+    def _watch_lifecycle(self, section: str) -> None:
+        del section
+        current = self._lifecycle.get("current")
+        if current is not None and current.phase == "stopped":
+            self._stopped.set()
+
+
+def main(argv: list[str]) -> int:
+    """Runs a host until SIGTERM or SIGINT; returns the exit code."""
+    del argv
+    if _SETTINGS.value is None:
+        print("bramleyforkd: --settings FILE is required", file=sys.stderr)  # noqa: T201
+        return _EXIT_SETTINGS
+    loaded = settings_module.load_settings(_SETTINGS.value)
+    if loaded.is_error():
+        for fault in loaded.error:
+            print(f"bramleyforkd: {fault}", file=sys.stderr)  # noqa: T201
+        return _EXIT_SETTINGS
+    settings = loaded.ok
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
+    recent = logs.set_up_logging(
+        level=settings.log_level, stream=sys.stderr, host=settings.host
+    )
+    controller_catalogue.load()
+    transport_catalogue.load()
+    daemon = Daemon(
+        settings=settings, recent=recent, clock=clocks.SystemClock()
+    )
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.request_stop())
+    daemon.start()
+    daemon.wait_until_stopped()
+    daemon.stop()
+    return _EXIT_OK
+
+
+def run() -> None:
+    """Entry point of the installed program."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/bramleyfork/decisions/admission.py
@@ -0,0 +1,66 @@
+"""Whether an owner accepts a sub-request into a target's queue."""
+
+from bramleyfork.core import fleet
+from bramleyfork.core import requests
+from bramleyfork.decisions import latencies
+from bramleyfork.decisions import shares
+
+# A sub-request with less time left than nearly every reply has taken would
+# cost a slot and still come too late.
+FAST_PERCENTILE = 5.0
+
+
+def find_refusal(
+    request: requests.SubRequest,
+    *,
+    share: shares.Share,
+    status: fleet.TargetStatus | None,
+    quarantined: fleet.Quarantined | None,
+    latency: latencies.LatencyWindow,
+    now: float,
+) -> str | None:
+    """Returns the reply code of a refusal, or None to accept.
+
+    Args:
+      request: The sub-request.
+      share: This host's share of its target.
+      status: What is known of the target, or None.
+      quarantined: The entry of the request's fingerprint, or None.
+      latency: Recent latencies of the target.
+      now: Monotonic seconds.
+    """
+    if share.in_flight <= 0:
+        return "no_share"
+    if status is not None and status.state == "out":
+        return "target_out"
+    if status is not None and status.state == "leaving":
+        return "leaving"
+    if quarantined is not None and quarantined.level == "refused":
+        return "quarantined"
+    fastest = latency.find_percentile(FAST_PERCENTILE) or 0.0
+    if request.deadline <= now + fastest:
+        return "expired"
+    return None
+
+
+def must_run_alone(
+    request: requests.SubRequest, quarantined: fleet.Quarantined | None
+) -> bool:
+    """Returns whether a request may only run alone on its target."""
+    return request.suspect or quarantined is not None
+
+
+def estimate_retry_after(
+    queue_length: int, latency_s: float | None, slots: int, spread: float
+) -> int:
+    """Returns milliseconds until a full queue should have room.
+
+    Args:
+      queue_length: Sub-requests that wait.
+      latency_s: Average service time in seconds, or None.
+      slots: Requests that the target runs at once.
+      spread: A number from 0 to 1 that differs per caller, so that refused
+        callers don't return together.
+    """
+    drain_s = (queue_length + 1) * (latency_s or 0.01) / max(1, slots)
+    return max(1, int(1000 * drain_s * (0.5 + spread)))
--- /dev/null
+++ b/src/bramleyfork/decisions/budgets.py
@@ -0,0 +1,29 @@
+"""Budgets that bound hedges and retries to a part of the traffic."""
+
+
+class Budget:
+    """Tokens earned by sub-requests and spent by extra attempts.
+
+    Args:
+      ratio: Tokens earned per sub-request, 0 to 1.
+      reserve: Most tokens kept, and the tokens at start; lets a quiet host
+        make a few extra attempts at once.
+    """
+
+    __slots__ = ("ratio", "reserve", "tokens")
+
+    def __init__(self, *, ratio: float, reserve: float):
+        self.ratio = ratio
+        self.reserve = reserve
+        self.tokens = reserve if ratio > 0 else 0.0
+
+    def earn(self, count: int = 1) -> None:
+        """Adds the tokens of ``count`` sub-requests."""
+        self.tokens = min(self.reserve, self.tokens + self.ratio * count)
+
+    def spend(self) -> bool:
+        """Takes one token; returns False when there is none."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/bramleyfork/decisions/shares.py
@@ -0,0 +1,143 @@
+"""Fixed shares of a target's budgets among hosts.
+
+A share depends on the published configuration alone and never on which hosts
+are believed to be alive, so that partitions and late wake-ups can waste
+capacity but cannot exceed what a target bears.
+"""
+
+import hashlib
+import math
+
+from bramleyfork.core import declarations
+from bramleyfork.core import records
+from bramleyfork.core import registries
+
+RANK_ONE_PART = 0.7  # Part of each budget that the first host holds.
+# A configuration is promised to be in force everywhere within 4 s; a gained
+# share is taken up after that, so that its former holder has given it up.
+GAIN_DELAY_S = 5.0
+
+
+class Share(records.Record):
+    """What one host may use of one target.
+
+    Attributes:
+      connections: Open connections.
+      in_flight: Requests sent and not yet answered.
+      cold_in_flight: The same while the target is cold.
+      cold_rate: Requests a second while the target is cold.
+    """
+
+    __slots__ = ("connections", "in_flight", "cold_in_flight", "cold_rate")
+
+    def __init__(
+        self,
+        *,
+        connections: int,
+        in_flight: int,
+        cold_in_flight: int,
+        cold_rate: float,
+    ):
+        self.connections = connections
+        self.in_flight = in_flight
+        self.cold_in_flight = cold_in_flight
+        self.cold_rate = cold_rate
+
+
+NO_SHARE = Share(connections=0, in_flight=0, cold_in_flight=0, cold_rate=0.0)
+
+# Ways to divide a budget: (budget, rank from 0, number of hosts) -> part.
+STRATEGIES: registries.Registry = registries.Registry(kind="strategy")
+
+
+@STRATEGIES.register("owner")
+def divide_among_owners(budget: int, rank: int, host_count: int) -> int:
+    """Returns 70 % of a budget for rank 0 and the rest for rank 1.
+
+    Rank 1 gets at least 1 of a budget of 2 or more; without a second host rank
+    0 gets everything.
+    """
+    if host_count == 1:
+        return budget if rank == 0 else 0
+    first = min(math.floor(budget * RANK_ONE_PART + 0.5), max(budget - 1, 1))
+    if rank == 0:
+        return min(first, budget)
+    return budget - first if rank == 1 else 0
+
+
+@STRATEGIES.register("direct")
+def divide_among_all(budget: int, rank: int, host_count: int) -> int:
+    """Returns an equal part of a budget for every host, rounded down."""
+    del rank
+    return budget // host_count
+
+
+def rank_hosts(
+    target: declarations.Target, declaration: declarations.Declaration
+) -> list[str]:
+    """Returns all declared hosts in order of their claim on a target.
+
+    Hosts in the target's data centre come first, then hosts in its region, then
+    the rest; within each group the order is by rendezvous hashing.
+    """
+    region = declaration.data_centres[target.data_centre].region
+
+    def sort_key(host: declarations.Host) -> tuple[int, bytes]:
+        return (
+            _measure_distance(host, target, region, declaration),
+            _hash_pair(host.name, target.name),
+        )
+
+    ordered = sorted(declaration.hosts.values(), key=sort_key)
+    return [host.name for host in ordered]
+
+
+def compute_share(
+    *,
+    service: declarations.Service,
+    strategy: str,
+    rank: int,
+    host_count: int,
+) -> Share:
+    """Returns the share of the host at ``rank`` (from 0).
+
+    One connection of the share is kept free for cancellations.
+    """
+    divide = STRATEGIES.find(strategy)
+    connections = divide(service.connections, rank, host_count)
+    in_flight = divide(service.slots + service.queue, rank, host_count)
+    cold = divide(service.cold_in_flight, rank, host_count)
+    whole = divide(1000, rank, host_count)
+    return Share(
+        connections=connections,
+        in_flight=max(0, min(in_flight, connections - 1)),
+        cold_in_flight=max(0, min(cold, connections - 1)),
+        cold_rate=service.cold_rate * whole / 1000,
+    )
+
+
+def intersect_shares(first: Share, second: Share) -> Share:
+    """Returns the smaller of two shares in each budget."""
+    return Share(
+        connections=min(first.connections, second.connections),
+        in_flight=min(first.in_flight, second.in_flight),
+        cold_in_flight=min(first.cold_in_flight, second.cold_in_flight),
+        cold_rate=min(first.cold_rate, second.cold_rate),
+    )
+
+
+def _measure_distance(
+    host: declarations.Host,
+    target: declarations.Target,
+    region: str,
+    declaration: declarations.Declaration,
+) -> int:
+    if host.data_centre == target.data_centre:
+        return 0
+    host_region = declaration.data_centres[host.data_centre].region
+    return 1 if host_region == region else 2
+
+
+def _hash_pair(host: str, target: str) -> bytes:
+    text = f"{host}\0{target}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/src/bramleyfork/decisions/snapshots.py
@@ -0,0 +1,132 @@
+"""Choice of the one snapshot that a query is read at, and its segments."""
+
+import collections
+import collections.abc
+
+from bramleyfork.core import ranges
+from bramleyfork.core import records
+from bramleyfork.core import requests
+
+# Holdings by target name, and these by service name.
+HoldingsByService = collections.abc.Mapping[
+    str, collections.abc.Mapping[str, tuple[requests.Holding, ...]]
+]
+
+
+class SegmentPlan(records.Record):
+    """A key range of one service and the targets that hold all of it.
+
+    Attributes:
+      service: Name of the service.
+      key_range: The range; disjoint from the service's other segments.
+      candidates: Names of targets that hold the range at the snapshot.
+    """
+
+    __slots__ = ("service", "key_range", "candidates")
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        key_range: ranges.KeyRange,
+        candidates: tuple[str, ...],
+    ):
+        self.service = service
+        self.key_range = key_range
+        self.candidates = candidates
+
+
+class Plan(records.Record):
+    """A snapshot and the disjoint segments that can be read at it.
+
+    Attributes:
+      snapshot: Versions of every segment; None when nothing is held.
+      segments: Segments in order of service and key.
+    """
+
+    __slots__ = ("snapshot", "segments")
+
+    def __init__(
+        self,
+        *,
+        snapshot: requests.Snapshot | None,
+        segments: tuple[SegmentPlan, ...],
+    ):
+        self.snapshot = snapshot
+        self.segments = segments
+
+
+def plan_query(
+    holdings: HoldingsByService, excluded: frozenset[requests.Snapshot]
+) -> Plan:
+    """Returns the plan for the newest snapshot with the most coverage.
+
+    Args:
+      holdings: What each usable target of each wanted service holds.
+      excluded: Snapshots that a query has already given up on.
+    """
+    coverage = _measure_coverage(holdings)
+    choices = [(n, s) for s, n in coverage.items() if s not in excluded]
+    if not choices:
+        return Plan(snapshot=None, segments=())
+    best = max(length for length, _ in choices)
+    snapshot = max(s for length, s in choices if length == best)
+    segments: list[SegmentPlan] = []
+    for service, by_target in sorted(holdings.items()):
+        segments.extend(cut_segments(service, by_target, snapshot))
+    return Plan(snapshot=snapshot, segments=tuple(segments))
+
+
+def cut_segments(
+    service: str,
+    by_target: collections.abc.Mapping[str, tuple[requests.Holding, ...]],
+    snapshot: requests.Snapshot,
+) -> list[SegmentPlan]:
+    """Returns disjoint segments of one service at a snapshot.
+
+    Segments are cut at every boundary of a held range, and neighbours with the
+    same candidates are joined, so that overlapping ranges of a repartitioning
+    are read once.
+    """
+    held = [
+        (holding.key_range, target)
+        for target, target_holdings in by_target.items()
+        for holding in target_holdings
+        if holding.snapshot == snapshot
+    ]
+    bounds = sorted({b for r, _ in held for b in (r.low, r.high)})
+    segments: list[SegmentPlan] = []
+    for low, high in zip(bounds, bounds[1:], strict=False):
+        piece = ranges.KeyRange(low=low, high=high)
+        candidates = tuple(sorted({t for r, t in held if r.contains(piece)}))
+        if not candidates:
+            continue
+        previous = segments[-1] if segments else None
+        if (
+            previous is not None
+            and previous.candidates == candidates
+            and previous.key_range.high == low
+        ):
+            piece = ranges.KeyRange(low=previous.key_range.low, high=high)
+            segments.pop()
+        segments.append(
+            SegmentPlan(service=service, key_range=piece, candidates=candidates)
+        )
+    return segments
+
+
+def _measure_coverage(
+    holdings: HoldingsByService,
+) -> dict[requests.Snapshot, int]:
+    """Returns the number of keys held per snapshot, over all services."""
+    total: dict[requests.Snapshot, int] = collections.defaultdict(int)
+    for by_target in holdings.values():
+        held: dict[requests.Snapshot, list[ranges.KeyRange]] = {}
+        for target_holdings in by_target.values():
+            for holding in target_holdings:
+                held.setdefault(holding.snapshot, []).append(holding.key_range)
+        for snapshot, parts in held.items():
+            total[snapshot] += sum(
+                part.length for part in ranges.merge_ranges(parts)
+            )
+    return dict(total)
--- /dev/null
+++ b/src/bramleyfork/decisions/warmup.py
@@ -0,0 +1,129 @@
+"""How much a target bears between a cold start and full service."""
+
+from bramleyfork.decisions import shares
+
+COLD = "cold"
+WARM = "warm"
+
+# A target whose latency jumps by this factor is taken for cold.
+LATENCY_JUMP = 4.0
+# Below this count the average is not steady enough to see a jump.
+_JUMP_SAMPLES = 20
+# A jump counts above this latency only; below it is scheduling noise.
+_JUMP_FLOOR_S = 0.05
+# A target that was silent for this time gets a single request first.
+IDLE_S = 1.0
+
+
+class Warmth:
+    """What one host knows of one target's warm-up.
+
+    Attributes:
+      state: COLD or WARM.
+      reason: Why it is in that state.
+      epoch: Incarnation of the target's process, None before a reply.
+      first_success_at: Start of the current run of successes, or None.
+      next_send_at: Earliest next send while cold, monotonic seconds.
+      last_reply_at: Last reply, or None.
+    """
+
+    __slots__ = (
+        "state",
+        "reason",
+        "epoch",
+        "first_success_at",
+        "next_send_at",
+        "last_reply_at",
+    )
+
+    def __init__(self):
+        self.state = COLD
+        self.reason = "not heard of yet"
+        self.epoch: str | None = None
+        self.first_success_at: float | None = None
+        self.next_send_at = 0.0
+        self.last_reply_at: float | None = None
+
+
+def note_reply(
+    warmth: Warmth,
+    *,
+    now: float,
+    epoch: str,
+    reported_state: str,
+    cold_period_s: float,
+    jumped: bool,
+) -> None:
+    """Updates a warm-up after a reply.
+
+    The target's own word can only make it cold; it becomes warm after
+    ``cold_period_s`` seconds of successes alone.
+    """
+    warmth.last_reply_at = now
+    if warmth.epoch != epoch:
+        warmth.epoch = epoch
+        restart(warmth, f"new epoch {epoch!r}")
+    elif reported_state == COLD and warmth.state == WARM:
+        restart(warmth, "target reports a cold start")
+    elif jumped and warmth.state == WARM:
+        restart(warmth, "latency jump")
+    if warmth.first_success_at is None:
+        warmth.first_success_at = now
+    if warmth.state == WARM or reported_state == COLD:
+        return
+    if now - warmth.first_success_at >= cold_period_s:
+        warmth.state = WARM
+        warmth.reason = "cold period passed with successes only"
+
+
+def restart(warmth: Warmth, reason: str) -> None:
+    """Treats the target as cold from now on."""
+    warmth.state = COLD
+    warmth.reason = reason
+    warmth.first_success_at = None
+
+
+def detect_jump(
+    elapsed_s: float, mean_s: float | None, sample_count: int
+) -> bool:
+    """Returns whether a latency looks like that of a cold target."""
+    if mean_s is None or sample_count < _JUMP_SAMPLES:
+        return False
+    return elapsed_s > max(_JUMP_FLOOR_S, LATENCY_JUMP * mean_s)
+
+
+def find_send_time(
+    warmth: Warmth, *, share: shares.Share, in_flight: int, now: float
+) -> float | None:
+    """Returns when the next request may be sent.
+
+    Args:
+      warmth: The target's warm-up.
+      share: This host's share of the target.
+      in_flight: Requests sent and not answered.
+      now: Monotonic seconds.
+
+    Returns:
+      A monotonic time, at most ``now`` if a request may be sent at once; None
+      while a reply has to come first.
+    """
+    if warmth.state == COLD:
+        if in_flight >= share.cold_in_flight or share.cold_rate <= 0:
+            return None
+        return warmth.next_send_at
+    if in_flight >= share.in_flight:
+        return None
+    silent = (
+        warmth.last_reply_at is None or now - warmth.last_reply_at >= IDLE_S
+    )
+    if silent and in_flight >= 1:
+        return None
+    return now
+
+
+def note_send(warmth: Warmth, *, share: shares.Share, now: float) -> None:
+    """Books the pace of a cold target for one request."""
+    if warmth.state == COLD and share.cold_rate > 0:
+        warmth.next_send_at = max(now, warmth.next_send_at) + (
+            1.0 / share.cold_rate
+        )
--- /dev/null
+++ b/tests/controllers/test_ownership.py
@@ -0,0 +1,204 @@
+import pytest
+
+from bramleyfork.controllers import ownership
+from bramleyfork.core import fleet
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+from bramleyfork.decisions import shares
+import creators
+
+NOW = 1000.0
+READY = NOW + shares.GAIN_DELAY_S
+
+
+class Bench:
+    """An ownership controller between hand-written sections."""
+
+    def __init__(self, **service):
+        self.board = creators.create_board()
+        self.controller = ownership.Ownership(
+            board=self.board, settings=creators.create_settings()
+        )
+        self.requests = self.board.grant_writer(
+            "peer_subrequests", "peer_transport"
+        )
+        self.results = self.board.grant_writer(
+            "attempt_results", "target_transport"
+        )
+        self.targets = self.board.grant_writer("targets", "targets")
+        self.lease = self.board.grant_writer("lease", "membership")
+        self.declared = self.board.grant_writer("declaration", "configuration")
+        self.attempts = self.board.find_log("attempts").open_cursor()
+        self.replies = self.board.find_log("subreplies").open_cursor()
+        self.suspicions = self.board.find_log("suspicions").open_cursor()
+        self.lease.put("current", fleet.Lease(expires_at=1e9, source="peer"))
+        self.declare(
+            creators.create_declaration(
+                services=[creators.create_service(**service)]
+            )
+        )
+        self.controller.step(NOW)
+
+    def declare(self, declaration):
+        self.declared.put("in_force", creators.create_entry(declaration))
+
+    def ask(self, *attempt_ids, now=READY, **changes):
+        changes.setdefault("deadline", now + 1)
+        for attempt_id in attempt_ids:
+            self.requests.append(
+                creators.create_sub_request(attempt_id, **changes)
+            )
+        self.controller.step(now)
+        return [a.attempt_id for a in self.attempts.take()]
+
+    def finish(self, attempt_id, now=READY, code="ok", state="warm", **changes):
+        ran = code == "ok"
+        result = replies.AttemptResult(
+            attempt_id=attempt_id,
+            target="booking-01-a",
+            verdict=verdicts.Verdict.RAN
+            if ran
+            else verdicts.Verdict.MAY_HAVE_RUN,
+            code=code,
+            elapsed_s=0.01,
+            report=requests.TargetReport(
+                epoch="e1", state=state, load=0.0, holdings=()
+            )
+            if ran
+            else None,
+        )
+        self.results.append(result.replace(**changes))
+        self.controller.step(now)
+        return [a.attempt_id for a in self.attempts.take()]
+
+    def warm_up(self):
+        self.ask("w1", deadline=READY + 9)
+        self.finish("w1", READY)
+        self.ask("w2", now=READY + 3, deadline=READY + 9)
+        self.finish("w2", READY + 3)
+        self.replies.take()
+        return READY + 3
+
+    def take_codes(self):
+        return [reply.code for reply in self.replies.take()]
+
+
+def test_starting_process_takes_its_share_after_the_delay():
+    # Guards against adding to what the process before it left running.
+    bench = Bench()
+    assert bench.ask("a1", now=READY - 0.1) == []
+    assert bench.take_codes() == ["no_share"]
+    assert bench.ask("a2", now=READY) == ["a2"]
+
+
+def test_cold_target_gets_only_its_cold_places():
+    bench = Bench(cold_rate=1000.0, cold_in_flight=2)
+    assert bench.ask("a1", "a2", "a3") == ["a1"]
+    bench.controller.step(READY + 0.1)
+    assert [a.attempt_id for a in bench.attempts.take()] == ["a2"]
+    bench.controller.step(READY + 0.2)
+    assert bench.attempts.take() == []
+
+
+def test_warm_target_gets_its_whole_share_and_not_more():
+    bench = Bench()
+    now = bench.warm_up()
+    assert len(bench.ask(*"abcdefgh", now=now)) == 6
+
+
+def test_lapsed_lease_stops_sends():
+    # Guards against work from a host that has been cut off or frozen.
+    bench = Bench()
+    bench.lease.put("current", fleet.Lease(expires_at=READY, source="peer"))
+    assert bench.ask("a1") == []
+    assert bench.take_codes() == ["no_lease"]
+
+
+@pytest.mark.parametrize(
+    ("state", "code"), [("leaving", "leaving"), ("out", "target_out")]
+)
+def test_target_that_left_gets_no_new_work(state, code):
+    bench = Bench(cold_rate=0.1)
+    assert bench.ask("a1", "a2") == ["a1"]
+    bench.targets.put(
+        "booking-01-a",
+        fleet.TargetStatus(
+            target="booking-01-a",
+            state=state,
+            reason="test",
+            epoch=None,
+            holdings=(),
+            heard_at=NOW,
+        ),
+    )
+    assert bench.ask("a3") == []
+    assert bench.take_codes() == [code, code]
+
+
+def test_waiting_sub_request_is_refused_at_its_deadline():
+    bench = Bench(cold_rate=0.1)
+    bench.ask("a1", "a2")
+    bench.controller.step(READY + 1.1)
+    assert bench.take_codes() == ["expired"]
+    assert bench.attempts.take() == []
+
+
+def test_death_names_every_fingerprint_in_flight():
+    bench = Bench()
+    now = bench.warm_up()
+    bench.ask("a1", now=now, fingerprint="f1")
+    bench.ask("a2", now=now, fingerprint="f2")
+    bench.finish("a1", now, code="died")
+    (death,) = bench.suspicions.take()
+    assert death.fingerprints == ("f1", "f2")
+
+
+def test_suspect_runs_alone():
+    # Guards against blaming requests that only ran beside a crashing one.
+    bench = Bench()
+    now = bench.warm_up()
+    assert bench.ask("a1", now=now) == ["a1"]
+    assert bench.ask("s", now=now, suspect=True, deadline=now + 0.5) == []
+    assert bench.finish("a1", now) == ["s"]
+    assert bench.ask("a2", now=now) == []
+    assert bench.finish("s", now) == ["a2"]
+    cleared = bench.suspicions.take()[-1]
+    assert isinstance(cleared, fleet.SuspectCleared)
+
+
+def test_cancelled_waiting_sub_request_is_never_sent():
+    bench = Bench(cold_rate=0.1)
+    bench.ask("a1", "a2")
+    bench.requests.append(requests.Cancel(attempt_id="a2", owner="host-1"))
+    bench.controller.step(READY)
+    bench.finish("a1", READY + 0.5)
+    bench.controller.step(READY + 20)
+    assert bench.attempts.take() == []
+
+
+def test_cancel_of_a_running_attempt_reaches_the_target():
+    bench = Bench()
+    bench.ask("a1")
+    bench.requests.append(requests.Cancel(attempt_id="a1", owner="host-1"))
+    bench.controller.step(READY)
+    (attempt,) = bench.attempts.take()
+    assert attempt.cancel
+
+
+def test_lost_share_is_given_up_at_once():
+    # Guards against two hosts that use the same share after a change.
+    bench = Bench()
+    bench.warm_up()
+    hosts = {h.name: h for h in [creators.create_host(2)]}
+    bench.declare(creators.create_declaration(hosts=1).replace(hosts=hosts))
+    assert bench.ask("a1", now=READY + 4) == []
+    assert bench.take_codes() == ["no_share"]
+
+
+def test_full_queue_says_when_to_come_back():
+    bench = Bench(slots=1, queue=0, cold_rate=0.1, connections=3)
+    bench.ask(*[f"a{n}" for n in range(12)])
+    refused = [r for r in bench.replies.take() if r.code == "queue_full"]
+    assert refused
+    assert all(r.retry_after_ms > 0 for r in refused)
--- /dev/null
+++ b/tests/controllers/test_routing.py
@@ -0,0 +1,324 @@
+import pytest
+
+from bramleyfork.controllers import routing
+from bramleyfork.core import fleet
+from bramleyfork.core import ranges
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+from bramleyfork.decisions import tickets
+import creators
+
+NOW = 1000.0
+NEWER = requests.Snapshot(index_version=42, map_version=7)
+REPORT = requests.TargetReport(
+    epoch="e1",
+    state="warm",
+    load=0.0,
+    holdings=(creators.create_holding(),),
+)
+
+
+class Bench:
+    """A routing controller between hand-written sections."""
+
+    def __init__(self, declaration=None, **settings):
+        self.board = creators.create_board()
+        self.settings = creators.create_settings(**settings)
+        self.routing = routing.Routing(board=self.board, settings=self.settings)
+        self.queries = self.board.grant_writer("queries", "caller_transport")
+        self.replies = self.board.grant_writer("subreplies", "ownership")
+        self.targets = self.board.grant_writer("targets", "targets")
+        self.quarantine = self.board.grant_writer("quarantine", "quarantine")
+        self.sent = self.board.find_log("subrequests").open_cursor()
+        self.answers = self.board.find_log("answers").open_cursor()
+        self.declaration = declaration or creators.create_declaration()
+        self.board.grant_writer("declaration", "configuration").put(
+            "in_force", creators.create_entry(self.declaration)
+        )
+        self.board.grant_writer("lease", "membership").put(
+            "current", fleet.Lease(expires_at=9999.0, source="peer")
+        )
+        for name in self.declaration.targets:
+            self.hold(name, creators.create_holding())
+
+    def hold(self, target, *holdings):
+        self.targets.put(
+            target,
+            fleet.TargetStatus(
+                target=target,
+                state="usable",
+                reason="declared",
+                epoch="e1",
+                holdings=holdings,
+                heard_at=NOW,
+            ),
+        )
+
+    def ask(self, now=NOW, **changes):
+        self.queries.append(creators.create_query(**changes))
+        self.routing.step(now)
+        return self.take_sent()
+
+    def take_sent(self):
+        taken = self.sent.take()
+        return [r for r in taken if isinstance(r, requests.SubRequest)]
+
+    def reply(self, request, now=NOW + 0.01, **changes):
+        reply = replies.SubReply(
+            attempt_id=request.attempt_id,
+            query_id=request.query_id,
+            router=request.router,
+            owner=request.owner,
+            target=request.target,
+            verdict=verdicts.Verdict.RAN,
+            code="ok",
+            key_range=request.key_range,
+            snapshot=request.snapshot,
+            answers=((1, "one"),),
+            report=REPORT,
+        )
+        self.replies.append(reply.replace(**changes))
+        self.routing.step(now)
+
+    def fail(self, request, code, verdict=verdicts.Verdict.NOT_RUN, **changes):
+        self.reply(
+            request,
+            code=code,
+            verdict=verdict,
+            key_range=None,
+            snapshot=None,
+            answers=(),
+            **changes,
+        )
+
+    def take_answer(self):
+        (answer,) = self.answers.take()
+        return answer
+
+
+def create_two_services():
+    return creators.create_declaration(
+        services=[
+            creators.create_service("booking-01"),
+            creators.create_service("booking-02"),
+        ],
+        targets=[
+            creators.create_target("b1-a", "booking-01"),
+            creators.create_target("b1-b", "booking-01"),
+            creators.create_target("b2-a", "booking-02"),
+            creators.create_target("b2-b", "booking-02"),
+        ],
+        lookups=[creators.create_lookup(services=("booking-01", "booking-02"))],
+    )
+
+
+def issue_ticket(bench, now=NOW, number=1):
+    return tickets.issue_ticket(
+        bench.settings.ticket_key, "host-1", 1, number, int(now * 1000) + 5000
+    )
+
+
+def test_whole_answer_has_full_coverage():
+    bench = Bench()
+    (request,) = bench.ask()
+    bench.reply(request)
+    answer = bench.take_answer()
+    assert (answer.code, answer.coverage) == ("ok", 1.0)
+    assert answer.answers == (("booking-01", 1, "one"),)
+
+
+def test_late_reply_does_not_reach_another_query():
+    # Guards against answers that cross between callers.
+    bench = Bench()
+    (first,) = bench.ask()
+    bench.routing.step(NOW + 0.995)
+    assert bench.take_answer().code == "no_answer"
+    bench.ask(now=NOW + 1, query_id="q2", deadline=NOW + 2)
+    bench.reply(first)
+    assert bench.answers.take() == []
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"snapshot": NEWER},
+        {"key_range": creators.create_range(0, 10)},
+        {"answers": ((1, "a"), (1, "b"))},
+    ],
+    ids=["snapshot", "range", "repeated key"],
+)
+def test_part_other_than_asked_is_not_merged(change):
+    bench = Bench()
+    (request,) = bench.ask()
+    bench.reply(request, **change)
+    (retry,) = bench.take_sent()
+    assert retry.target != request.target
+    assert bench.answers.take() == []
+
+
+def test_record_outside_its_segment_is_not_merged():
+    # Guards against a record that counts in two segments.
+    bench = Bench()
+    for target in bench.declaration.targets:
+        bench.hold(
+            target,
+            creators.create_holding(low=0, high=100),
+        )
+    (request,) = bench.ask()
+    bench.reply(request, answers=((100, "x"),))
+    assert bench.answers.take() == []
+
+
+def test_unread_segment_is_reported_missing():
+    # Guards against an empty class made from a lost shard.
+    bench = Bench(create_two_services())
+    (canary,) = bench.ask()
+    bench.reply(canary)
+    (other,) = bench.take_sent()
+    bench.routing.step(NOW + 0.995)
+    answer = bench.take_answer()
+    assert answer.code == "partial"
+    assert answer.coverage == pytest.approx(0.5)
+    assert answer.missing == ((other.service, ranges.FULL_RANGE),)
+
+
+def test_unknown_request_reaches_one_target_first():
+    # Guards against a crashing request that reaches every target at once.
+    bench = Bench(create_two_services())
+    assert len(bench.ask()) == 1
+
+
+def test_completed_request_goes_to_all_targets_at_once():
+    bench = Bench(create_two_services())
+    (canary,) = bench.ask()
+    bench.reply(canary)
+    (other,) = bench.take_sent()
+    bench.reply(other)
+    assert bench.take_answer().code == "ok"
+    assert len(bench.ask(query_id="q2")) == 2
+
+
+def test_death_keeps_the_other_segments_back():
+    bench = Bench(create_two_services())
+    (canary,) = bench.ask()
+    bench.fail(canary, "died", verdicts.Verdict.MAY_HAVE_RUN)
+    (retry,) = bench.take_sent()
+    assert retry.suspect
+    assert retry.service == canary.service
+    bench.fail(retry, "died", verdicts.Verdict.MAY_HAVE_RUN)
+    assert bench.take_sent() == []
+    assert bench.take_answer().verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+def test_quarantined_request_is_refused_before_a_send():
+    bench = Bench()
+    (request,) = bench.ask()
+    bench.quarantine.put(
+        request.fingerprint,
+        fleet.Quarantined(
+            fingerprint=request.fingerprint,
+            level="refused",
+            until=NOW + 60,
+            targets=("booking-01-a",),
+        ),
+    )
+    assert bench.ask(query_id="q2") == []
+    answer = bench.take_answer()
+    assert answer.code == "quarantined"
+    assert answer.verdict is verdicts.Verdict.NOT_RUN
+
+
+def test_wrong_snapshot_everywhere_restarts_on_a_newer_one():
+    bench = Bench()
+    (first,) = bench.ask()
+    newer = REPORT.replace(holdings=(creators.create_holding(NEWER),))
+    bench.fail(first, "wrong_snapshot", report=newer)
+    (second,) = bench.take_sent()
+    assert second.snapshot == creators.SNAPSHOT
+    bench.fail(second, "wrong_snapshot", report=newer)
+    (restarted,) = bench.take_sent()
+    assert restarted.snapshot == NEWER
+    bench.reply(restarted, report=newer)
+    assert bench.take_answer().snapshot == NEWER
+
+
+def test_refusing_owner_leads_to_the_other_owner():
+    bench = Bench(creators.create_declaration(hosts=3))
+    (first,) = bench.ask()
+    bench.fail(first, "no_share")
+    (second,) = bench.take_sent()
+    assert (second.target, second.owner) != (first.target, first.owner)
+
+
+def test_slow_segment_is_hedged_from_the_budget():
+    bench = Bench()
+    for number in range(30):
+        (request,) = bench.ask(query_id=f"q{number}")
+        bench.reply(request)
+        bench.take_answer()
+    (slow,) = bench.ask(query_id="slow")
+    bench.routing.step(NOW + 0.5)
+    (hedge,) = bench.take_sent()
+    assert hedge.target != slow.target
+    bench.reply(hedge, now=NOW + 0.51)
+    cancels = [r for r in bench.sent.take() if isinstance(r, requests.Cancel)]
+    assert [c.attempt_id for c in cancels] == [slow.attempt_id]
+    assert bench.take_answer().code == "ok"
+
+
+def test_hold_request_runs_once_per_ticket():
+    bench = Bench()
+    hold = {"lookup": "seat-hold", "key": 7, "ticket": issue_ticket(bench)}
+    (request,) = bench.ask(**hold)
+    assert bench.ask(query_id="again", **hold) == []
+    refusal = bench.take_answer()
+    assert refusal.code == "ticket_used"
+    assert refusal.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    bench.reply(request, answers=((7, "held"),))
+    assert bench.take_answer().code == "ok"
+
+
+def test_hold_request_is_not_repeated_after_an_unknown_outcome():
+    # Guards against two families holding one seat.
+    bench = Bench()
+    hold = {"lookup": "seat-hold", "key": 7, "ticket": issue_ticket(bench)}
+    (request,) = bench.ask(**hold)
+    bench.fail(request, "died", verdicts.Verdict.MAY_HAVE_RUN)
+    assert bench.take_sent() == []
+    assert bench.take_answer().verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+def test_hold_request_is_repeated_after_not_run():
+    bench = Bench()
+    hold = {"lookup": "seat-hold", "key": 7, "ticket": issue_ticket(bench)}
+    (request,) = bench.ask(**hold)
+    bench.fail(request, "connect_failed")
+    (retry,) = bench.take_sent()
+    assert retry.target != request.target
+
+
+def test_unanswered_hold_request_may_have_run():
+    bench = Bench()
+    hold = {"lookup": "seat-hold", "key": 7, "ticket": issue_ticket(bench)}
+    bench.ask(**hold)
+    bench.routing.step(NOW + 0.995)
+    assert bench.take_answer().verdict is verdicts.Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"lookup": "avail"}, "unknown_lookup"),
+        ({"key": 3}, "bad_key"),
+        ({"lookup": "seat-hold", "key": 70000, "ticket": "x"}, "bad_key"),
+        ({"lookup": "seat-hold", "key": 7}, "ticket_required"),
+        ({"lookup": "seat-hold", "key": 7, "ticket": "x"}, "bad_ticket"),
+        ({"deadline": NOW}, "deadline_past"),
+    ],
+)
+def test_invalid_query_is_refused_as_not_run(change, code):
+    bench = Bench()
+    assert bench.ask(**change) == []
+    answer = bench.take_answer()
+    assert (answer.code, answer.verdict) == (code, verdicts.Verdict.NOT_RUN)
--- /dev/null
+++ b/tests/decisions/test_coverage.py
@@ -0,0 +1,34 @@
+import pytest
+
+from bramleyfork.core import ranges
+from bramleyfork.decisions import coverage
+import creators
+
+ASKED = {"s": ranges.FULL_RANGE, "t": ranges.FULL_RANGE}
+
+
+def test_missing_half_of_one_of_two_services_is_a_quarter():
+    measured = coverage.measure_coverage(
+        ASKED,
+        [("s", ranges.FULL_RANGE), ("t", creators.create_range(0, 32768))],
+    )
+    assert measured.share == pytest.approx(0.75)
+    assert measured.missing == (("t", creators.create_range(32768, 65536)),)
+
+
+def test_service_without_any_part_is_missing_whole():
+    # Guards against a lost shard that looks like an empty class.
+    measured = coverage.measure_coverage(ASKED, [("s", ranges.FULL_RANGE)])
+    assert measured.missing == (("t", ranges.FULL_RANGE),)
+
+
+def test_overlapping_parts_are_a_fault():
+    # Guards against a lot's weight that counts twice.
+    with pytest.raises(coverage.OverlapError, match="'s' overlap"):
+        coverage.measure_coverage(
+            ASKED,
+            [
+                ("s", creators.create_range(0, 200)),
+                ("s", creators.create_range(199, 300)),
+            ],
+        )
--- /dev/null
+++ b/tests/decisions/test_warmup.py
@@ -0,0 +1,85 @@
+import pytest
+
+from bramleyfork.decisions import shares
+from bramleyfork.decisions import warmup
+
+SHARE = shares.Share(
+    connections=10, in_flight=4, cold_in_flight=1, cold_rate=10.0
+)
+
+
+def reply(warmth, now, *, epoch="e1", state="warm", jumped=False):
+    warmup.note_reply(
+        warmth,
+        now=now,
+        epoch=epoch,
+        reported_state=state,
+        cold_period_s=2.0,
+        jumped=jumped,
+    )
+
+
+def create_warm():
+    warmth = warmup.Warmth()
+    reply(warmth, 0.0)
+    reply(warmth, 2.0)
+    assert warmth.state == warmup.WARM
+    return warmth
+
+
+def test_own_word_alone_does_not_make_a_target_warm():
+    # Guards against health reports that mislead.
+    warmth = warmup.Warmth()
+    reply(warmth, 0.0, state="warm")
+    assert warmth.state == warmup.COLD
+
+
+def test_period_of_successes_makes_it_warm():
+    assert create_warm().state == warmup.WARM
+
+
+@pytest.mark.parametrize(
+    "change", [{"epoch": "e2"}, {"state": "cold"}, {"jumped": True}]
+)
+def test_signs_of_a_cold_start_end_warmth(change):
+    warmth = create_warm()
+    reply(warmth, 2.1, **change)
+    assert warmth.state == warmup.COLD
+
+
+def test_failure_starts_the_period_again():
+    warmth = warmup.Warmth()
+    reply(warmth, 0.0)
+    warmup.restart(warmth, "connection refused")
+    reply(warmth, 1.9)
+    reply(warmth, 2.1)
+    assert warmth.state == warmup.COLD
+
+
+def test_cold_sends_are_paced_by_the_share():
+    warmth = warmup.Warmth()
+    sent = 0
+    now = 0.0
+    while now < 1.0:
+        due = warmup.find_send_time(warmth, share=SHARE, in_flight=0, now=now)
+        if due <= now:
+            warmup.note_send(warmth, share=SHARE, now=now)
+            sent += 1
+        now += 0.01
+    assert sent == 10
+
+
+def test_cold_target_gets_no_more_than_its_places():
+    warmth = warmup.Warmth()
+    assert (
+        warmup.find_send_time(warmth, share=SHARE, in_flight=1, now=0.0) is None
+    )
+
+
+def test_silent_warm_target_gets_one_request_first():
+    # Guards against a full load on a target that turned cold unnoticed.
+    warmth = create_warm()
+    later = 2.0 + warmup.IDLE_S
+    send = {"share": SHARE, "now": later}
+    assert warmup.find_send_time(warmth, in_flight=0, **send) == later
+    assert warmup.find_send_time(warmth, in_flight=1, **send) is None
