Serve callers: queries, placement, tickets and probes

Cause: callers had no way in, and at-most-once requests had no tickets. Before: no caller interface. Conclusion: routing can be connected through the queries and answers logs.

--- /dev/null
+++ b/src/bramleyfork/codecs/documents.py
@@ -0,0 +1,248 @@
+"""JSON documents exchanged with callers."""
+
+import json
+import math
+import typing
+
+import expression
+
+from bramleyfork.core import ranges
+from bramleyfork.core import records
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+
+BODY_LIMIT = 64 * 1024  # Bytes of a caller's request.
+
+_FIELDS = frozenset(("lookup", "deadline_ms", "parameters", "key", "ticket"))
+_NAME_LIMIT = 200  # Characters of a lookup's name.
+_TICKET_LIMIT = 1000  # Characters; issued tickets are far shorter.
+
+_STATUS_BY_CODE = {
+    "ok": 200,
+    "partial": 200,
+    "malformed": 400,
+    "unknown_lookup": 400,
+    "bad_key": 400,
+    "bad_deadline": 400,
+    "bad_ticket": 400,
+    "ticket_required": 400,
+    "not_found": 404,
+    "not_allowed": 405,
+    "ticket_used": 409,
+    "ticket_foreign": 409,
+    "too_large": 413,
+    "quarantined": 422,
+}
+_NOT_RUN_STATUS_BY_CODE = {"deadline_past": 408}
+
+
+class RequestFault(records.Record):
+    """A caller's request that was refused before anything was sent.
+
+    Attributes:
+      code: One of the codes in docs/protocols.md.
+      detail: The field, its value and what is allowed.
+      verdict: Always NOT_RUN.
+    """
+
+    __slots__ = ("code", "detail", "verdict")
+
+    def __init__(
+        self,
+        *,
+        code: str,
+        detail: str,
+        verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+    ):
+        self.code = code
+        self.detail = detail
+        self.verdict = verdict
+
+
+QueryResult = expression.Result[requests.Query, RequestFault]
+
+
+def decode_query(
+    body: bytes,
+    *,
+    query_id: str,
+    caller: str,
+    received_at: float,
+    longest_deadline_s: float,
+) -> QueryResult:
+    """Returns the query in a JSON body, or why it is refused.
+
+    Args:
+      body: Body of the request.
+      query_id: Id to give to the query.
+      caller: Name or address of the caller.
+      received_at: When the request arrived, monotonic seconds.
+      longest_deadline_s: Longest deadline allowed, seconds.
+    """
+    if len(body) > BODY_LIMIT:
+        return _refuse(
+            f"body is longer than {BODY_LIMIT} bytes", code="too_large"
+        )
+    try:
+        document = json.loads(
+            body.decode("utf-8"), object_pairs_hook=_build_object
+        )
+    except (ValueError, RecursionError) as error:
+        return _refuse(f"body is not valid JSON in UTF-8: {error}")
+    fault = _find_fault(document, longest_deadline_s)
+    if fault is not None:
+        return expression.Error(fault)
+    return expression.Ok(
+        requests.Query(
+            query_id=query_id,
+            lookup=document["lookup"],
+            key=document.get("key"),
+            parameters=document.get("parameters", ""),
+            deadline=received_at + document["deadline_ms"] / 1000,
+            received_at=received_at,
+            caller=caller,
+            ticket=document.get("ticket"),
+        )
+    )
+
+
+def _build_object(
+    pairs: list[tuple[str, typing.Any]],
+) -> dict[str, typing.Any]:
+    """Returns an object; a repeated field is refused as ambiguous."""
+    built = dict(pairs)
+    if len(built) < len(pairs):
+        raise ValueError("a field occurs twice")
+    return built
+
+
+def _refuse(detail: str, code: str = "malformed") -> QueryResult:
+    return expression.Error(RequestFault(code=code, detail=detail))
+
+
+def _find_fault(
+    document: typing.Any, longest_deadline_s: float
+) -> RequestFault | None:
+    if not isinstance(document, dict):
+        return RequestFault(
+            code="malformed", detail="body must be a JSON object"
+        )
+    unknown = sorted(document.keys() - _FIELDS)
+    if unknown:
+        valid = ", ".join(sorted(_FIELDS))
+        return RequestFault(
+            code="malformed",
+            detail=f"unknown field {unknown[0][:100]!r}; valid fields: {valid}",
+        )
+    for check in (_check_texts, _check_key):
+        fault = check(document)
+        if fault is not None:
+            return fault
+    return _check_deadline(document, longest_deadline_s)
+
+
+def _check_texts(document: dict[str, typing.Any]) -> RequestFault | None:
+    ticket = document.get("ticket")
+    texts = (
+        ("lookup", document.get("lookup"), _NAME_LIMIT),
+        ("parameters", document.get("parameters", ""), BODY_LIMIT),
+        ("ticket", "" if ticket is None else ticket, _TICKET_LIMIT),
+    )
+    for name, value, limit in texts:
+        if not isinstance(value, str):
+            return RequestFault(
+                code="malformed",
+                detail=f"field {name!r} is {_shorten(value)}, must be a string",
+            )
+        # A lone surrogate cannot be sent on in UTF-8.
+        if len(value) > limit or any("\ud800" <= c <= "\udfff" for c in value):
+            return RequestFault(
+                code="malformed",
+                detail=f"field {name!r} must be valid text of at most"
+                f" {limit} characters",
+            )
+    return None
+
+
+def _check_key(document: dict[str, typing.Any]) -> RequestFault | None:
+    key = document.get("key")
+    if key is None:
+        return None
+    if not _is_integer(key):
+        return RequestFault(
+            code="malformed",
+            detail=f"field 'key' is {_shorten(key)}, must be an integer",
+        )
+    if not 0 <= key < ranges.KEY_SPACE:
+        return RequestFault(
+            code="bad_key",
+            detail=f"field 'key' is {_shorten(key)}, must be in"
+            f" 0..{ranges.KEY_SPACE - 1}",
+        )
+    return None
+
+
+def _check_deadline(
+    document: dict[str, typing.Any], longest_deadline_s: float
+) -> RequestFault | None:
+    deadline_ms = document.get("deadline_ms")
+    if not _is_integer(deadline_ms):
+        return RequestFault(
+            code="malformed",
+            detail=f"field 'deadline_ms' is {_shorten(deadline_ms)},"
+            " must be an integer",
+        )
+    longest_ms = math.floor(longest_deadline_s * 1000)
+    if not 1 <= deadline_ms <= longest_ms:
+        return RequestFault(
+            code="bad_deadline",
+            detail=f"field 'deadline_ms' is {_shorten(deadline_ms)},"
+            f" must be in 1..{longest_ms}",
+        )
+    return None
+
+
+def _is_integer(value: typing.Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _shorten(value: typing.Any) -> str:
+    return repr(value)[:100]
+
+
+def encode_answer(answer: replies.Answer) -> bytes:
+    """Returns an answer as JSON."""
+    snapshot = answer.snapshot
+    return encode_document(
+        {
+            "query_id": answer.query_id,
+            "verdict": answer.verdict.value,
+            "code": answer.code,
+            "snapshot": snapshot
+            and (snapshot.index_version, snapshot.map_version),
+            "coverage": answer.coverage,
+            "missing": [
+                (service, part.low, part.high)
+                for service, part in answer.missing
+            ],
+            "records": answer.answers,
+            "detail": answer.detail,
+            "retry_after_ms": answer.retry_after_ms,
+            "hosts": answer.hosts,
+        }
+    )
+
+
+def encode_document(document: typing.Any) -> bytes:
+    """Returns a document as compact JSON in UTF-8."""
+    return json.dumps(document, separators=(",", ":")).encode("utf-8")
+
+
+def find_status(code: str, verdict: verdicts.Verdict) -> int:
+    """Returns the HTTP status of an answer, as in docs/protocols.md."""
+    if code in _STATUS_BY_CODE:
+        return _STATUS_BY_CODE[code]
+    if verdict is verdicts.Verdict.NOT_RUN:
+        return _NOT_RUN_STATUS_BY_CODE.get(code, 503)
+    return 504
--- a/src/bramleyfork/configuration/settings.py
+++ b/src/bramleyfork/configuration/settings.py
@@ -1,5 +1,7 @@
 """Settings of one daemon, read once at its start."""
 
+import secrets
+
 from bramleyfork.core import records
 
 
@@ -21,6 +23,7 @@
       target_threads: Attempts in flight at once.
       log_level: Lowest level of logs written.
       cut_file: For tests: file naming peers to cut off.
+      ticket_key: Signs this process's tickets; random for each process.
     """
 
     __slots__ = (
@@ -37,6 +40,7 @@
         "target_threads",
         "log_level",
         "cut_file",
+        "ticket_key",
     )
 
     def __init__(
@@ -55,6 +59,7 @@
         target_threads: int = 64,
         log_level: str = "INFO",
         cut_file: str | None = None,
+        ticket_key: bytes | None = None,
     ):
         self.deployment = deployment
         self.host = host
@@ -69,3 +74,4 @@
         self.target_threads = target_threads
         self.log_level = log_level
         self.cut_file = cut_file
+        self.ticket_key = ticket_key or secrets.token_bytes(16)
--- /dev/null
+++ b/src/bramleyfork/transports/callers.py
@@ -0,0 +1,376 @@
+"""The HTTP interface for callers."""
+
+import itertools
+import logging
+import math
+import threading
+import typing
+
+import cherrypy
+
+from bramleyfork.codecs import documents
+from bramleyfork.core import declarations
+from bramleyfork.core import fleet
+from bramleyfork.core import logs
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import transports
+from bramleyfork.core import verdicts
+from bramleyfork.decisions import placement
+from bramleyfork.decisions import tickets
+from bramleyfork.transports import servers
+
+_LOG = logging.getLogger(__name__)
+_DECISIONS = logging.getLogger(logs.DECISIONS)
+
+_ANSWER_GRACE_S = 0.1  # Routing answers at the deadline; this covers its way.
+_READER_PAUSE_S = 0.5  # How late the reader of answers notices a stop.
+_STOP_GRACE_S = 1.0  # Beyond the longest deadline, for writing answers.
+_TICKET_LIMIT = 32  # Tickets in one placement answer.
+_CALLER_LIMIT = 100  # Characters of a caller's name.
+_EXCESS_LIMIT = 1024 * 1024  # Bytes of an oversize body that are read.
+_JSON = "application/json"
+
+
+class Waiter:
+    """A thread that waits for the answer to its query."""
+
+    __slots__ = ("event", "answer")
+
+    def __init__(self):
+        self.event = threading.Event()
+        self.answer: replies.Answer | None = None
+
+
+@transports.register("caller_transport")
+class CallerTransport(transports.Transport):
+    """Serves callers on ``settings.caller_address``."""
+
+    def __init__(self, **arguments: typing.Any):
+        super().__init__(**arguments)
+        self._queries = self.board.grant_writer("queries", self.name)
+        self._answers = self.board.find_log("answers").open_cursor()
+        self._waiters: dict[str, Waiter] = {}
+        self._numbers = itertools.count(1)
+        self._ticket_numbers = itertools.count(1)
+        self._stopping = threading.Event()
+        self._server: servers.Server | None = None
+        self._threads: list[threading.Thread] = []
+
+    @property
+    def address(self) -> str:
+        """The address:port that is listened on, once started."""
+        return "{}:{}".format(*self._server.bind_addr[:2])
+
+    def start(self) -> None:
+        """Begins to serve; returns once listening."""
+        self._server = servers.build_server(
+            address=self.settings.caller_address,
+            root=_build_tree(self),
+            threads=self.settings.caller_threads,
+            clock=self.clock,
+        )
+        reader = threading.Thread(
+            target=self._distribute, name="answers", daemon=True
+        )
+        reader.start()
+        self._threads = [reader, servers.start_server(self._server, "callers")]
+
+    def stop(self) -> None:
+        """Closes the listener and lets the queries in flight end."""
+        if self._server is None:
+            return
+        entry = self.find_entry()
+        longest_s = entry.declaration.longest_deadline_s if entry else 0.0
+        self._server.shutdown_timeout = longest_s + _STOP_GRACE_S
+        self._server.stop()
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(2 * _READER_PAUSE_S)
+
+    def _distribute(self) -> None:
+        while not self._stopping.is_set():
+            answer = self._answers.wait_for_one(_READER_PAUSE_S)
+            if answer is None:
+                continue
+            waiter = self._waiters.pop(answer.query_id, None)
+            if waiter is None:
+                _LOG.debug(
+                    "answer dropped, nobody waits for it",
+                    extra={"query_id": answer.query_id},
+                )
+                continue
+            waiter.answer = answer
+            waiter.event.set()
+
+    def find_entry(self) -> declarations.DeclarationEntry | None:
+        """Returns the configuration in force."""
+        return self.board.find_table("declaration").get("in_force")
+
+    def find_lifecycle(self) -> fleet.Lifecycle | None:
+        """Returns where the process stands."""
+        return self.board.find_table("lifecycle").get("current")
+
+    def name_query(self) -> str:
+        """Returns a new query id."""
+        settings = self.settings
+        number = next(self._numbers)
+        return f"{settings.host}-{settings.incarnation:x}-{number:x}"
+
+    def ask(self, query: requests.Query) -> replies.Answer:
+        """Hands a query to routing and waits for its answer."""
+        waiter = Waiter()
+        self._waiters[query.query_id] = waiter
+        self._queries.append(query)
+        wait_s = query.deadline + _ANSWER_GRACE_S - self.clock.read_monotonic()
+        waiter.event.wait(max(0.0, wait_s))
+        if waiter.answer is None:
+            self._waiters.pop(query.query_id, None)
+        # The answer may have come between the end of the wait and the removal.
+        return waiter.answer or build_refusal(
+            query.query_id,
+            "no_answer",
+            "the query was not answered by its deadline",
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        )
+
+    def issue_tickets(self, number: int, lifetime_s: float) -> list[str]:
+        """Returns new tickets of this process."""
+        expires_at = self.clock.read_monotonic() + lifetime_s
+        return [
+            tickets.issue_ticket(
+                self.settings.ticket_key,
+                self.settings.host,
+                self.settings.incarnation,
+                next(self._ticket_numbers),
+                math.floor(expires_at * 1000),
+            )
+            for _ in range(number)
+        ]
+
+
+class _Branch:
+    """A node of the tree of resources."""
+
+    __slots__ = ("v1", "query", "placement", "healthz", "readyz")
+
+
+def _build_tree(transport: CallerTransport) -> _Branch:
+    root = _Branch()
+    root.v1 = _Branch()
+    root.v1.query = _QueryResource(transport)
+    root.v1.placement = _PlacementResource(transport)
+    root.healthz = _HealthResource()
+    root.readyz = _ReadinessResource(transport)
+    return root
+
+
+class _QueryResource:
+    exposed = True
+    __slots__ = ("_transport",)
+
+    def __init__(self, transport: CallerTransport):
+        self._transport = transport
+
+    def POST(self, **unused: str) -> bytes:  # noqa: N802 (cherrypy's name)
+        """Answers a query."""
+        answer = self._answer(servers.find_ready_time())
+        lifecycle = self._transport.find_lifecycle()
+        if lifecycle is not None and lifecycle.phase in ("leaving", "stopped"):
+            servers.close_after_answer()
+        return servers.respond(
+            documents.find_status(answer.code, answer.verdict),
+            documents.encode_answer(answer),
+            _JSON,
+        )
+
+    def _answer(self, received_at: float) -> replies.Answer:
+        transport = self._transport
+        query_id = transport.name_query()
+        entry = transport.find_entry()
+        if entry is None:
+            return build_refusal(
+                query_id, "starting", "no configuration is in force yet"
+            )
+        lifecycle = transport.find_lifecycle()
+        if lifecycle is not None and lifecycle.phase == "stopped":
+            return build_refusal(query_id, "stopped", "the host has stopped")
+        try:
+            body = _read_body()
+        except TimeoutError:
+            servers.close_after_answer()
+            return build_refusal(
+                query_id, "deadline_past", "the body did not arrive in time"
+            )
+        except ValueError as error:
+            servers.close_after_answer()
+            return build_refusal(query_id, "malformed", str(error))
+        decoded = documents.decode_query(
+            body,
+            query_id=query_id,
+            caller=_name_caller(),
+            received_at=received_at,
+            longest_deadline_s=entry.declaration.longest_deadline_s,
+        )
+        if decoded.is_error():
+            return build_refusal(
+                query_id, decoded.error.code, decoded.error.detail
+            )
+        if transport.clock.read_monotonic() >= decoded.ok.deadline:
+            return build_refusal(
+                query_id, "deadline_past", "the deadline passed before routing"
+            )
+        return transport.ask(decoded.ok)
+
+
+class _PlacementResource:
+    exposed = True
+    __slots__ = ("_transport",)
+
+    def __init__(self, transport: CallerTransport):
+        self._transport = transport
+
+    def GET(self, **options: str) -> bytes:  # noqa: N802 (cherrypy's name)
+        """Answers which hosts to use."""
+        number = options.pop("tickets", "0")
+        data_centre = options.pop(
+            "data_centre", self._transport.settings.data_centre
+        )
+        if options or not isinstance(data_centre, str):
+            return _refuse_option("valid options: data_centre, tickets")
+        valid = isinstance(number, str) and number.isascii()
+        if not valid or not number.isdigit() or len(number) > 4:
+            return _refuse_option(f"tickets is {number!r}, must be a number")
+        if int(number) > _TICKET_LIMIT:
+            return _refuse_option(
+                f"tickets is {number!r}, must be at most {_TICKET_LIMIT}"
+            )
+        return self._place(data_centre, int(number))
+
+    def _place(self, data_centre: str, number: int) -> bytes:
+        transport = self._transport
+        own_host = transport.settings.host
+        caller = _name_caller()
+        view = transport.board.find_table("placement").get("current")
+        hosts = (
+            placement.order_hosts(
+                view,
+                data_centre,
+                caller,
+                own_host=own_host,
+                prefer_own=number > 0,
+            )
+            if view
+            else []
+        )
+        issued = []
+        if hosts and hosts[0].name == own_host:
+            issued = transport.issue_tickets(number, view.lifetime_s)
+        _DECISIONS.info(
+            "caller placed",
+            extra={
+                "caller": caller,
+                "data_centre": data_centre,
+                "hosts": [host.name for host in hosts],
+                "tickets": len(issued),
+            },
+        )
+        if not hosts:
+            body = documents.encode_document({"code": "no_hosts"})
+            return servers.respond(503, body, _JSON)
+        body = documents.encode_document(
+            {
+                "hosts": placement.describe_hosts(hosts),
+                "lifetime_ms": round(view.lifetime_s * 1000),
+                "tickets": issued,
+            }
+        )
+        return servers.respond(200, body, _JSON)
+
+
+class _HealthResource:
+    exposed = True
+    __slots__ = ()
+
+    def GET(self) -> bytes:  # noqa: N802 (cherrypy's name)
+        """Answers while the process runs."""
+        return servers.respond(200, b'{"status":"ok"}', _JSON)
+
+
+class _ReadinessResource:
+    exposed = True
+    __slots__ = ("_transport",)
+
+    def __init__(self, transport: CallerTransport):
+        self._transport = transport
+
+    def GET(self) -> bytes:  # noqa: N802 (cherrypy's name)
+        """Answers whether the host may take work."""
+        reason = self._find_obstacle()
+        body = documents.encode_document(
+            {"status": "unready" if reason else "ready", "reason": reason}
+        )
+        return servers.respond(503 if reason else 200, body, _JSON)
+
+    def _find_obstacle(self) -> str:
+        transport = self._transport
+        lifecycle = transport.find_lifecycle()
+        phase = lifecycle.phase if lifecycle else "starting"
+        if phase != "serving":
+            return f"the host is {phase}"
+        if transport.find_entry() is None:
+            return "no configuration is in force"
+        lease = transport.board.find_table("lease").get("current")
+        now = transport.clock.read_monotonic()
+        if lease is None or now >= lease.expires_at:
+            return "the control lease does not hold"
+        return ""
+
+
+def build_refusal(
+    query_id: str,
+    code: str,
+    detail: str,
+    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+) -> replies.Answer:
+    """Returns an answer without records."""
+    return replies.Answer(
+        query_id=query_id,
+        verdict=verdict,
+        code=code,
+        snapshot=None,
+        coverage=0.0,
+        missing=(),
+        answers=(),
+        detail=detail,
+    )
+
+
+def _refuse_option(detail: str) -> bytes:
+    body = documents.encode_document({"code": "malformed", "detail": detail})
+    return servers.respond(400, body, _JSON)
+
+
+def _read_body() -> bytes:
+    """Returns the body, cut off one byte after the limit.
+
+    Raises:
+      TimeoutError: It did not arrive in time.
+      ValueError: Its framing is wrong, or it ended early.
+    """
+    stream = cherrypy.request.rfile
+    body = stream.read(documents.BODY_LIMIT + 1)
+    if len(body) > documents.BODY_LIMIT:
+        # Closing with unread data resets the connection, and the caller may
+        # then not see the refusal; so a moderate excess is read and dropped.
+        stream.read(_EXCESS_LIMIT)
+    announced = cherrypy.request.headers.get("Content-Length")
+    expected = min(int(announced or 0), documents.BODY_LIMIT + 1)
+    if len(body) < expected:
+        raise ValueError("the body is shorter than its Content-Length")
+    return body
+
+
+def _name_caller() -> str:
+    name = cherrypy.request.headers.get("Caller-Name", "")
+    return name[:_CALLER_LIMIT] or cherrypy.request.remote.ip
--- /dev/null
+++ b/tests/transports/test_callers.py
@@ -0,0 +1,254 @@
+import json
+import math
+import socket
+import threading
+
+import pytest
+from tests import boards
+import urllib3
+
+from bramleyfork.core import clocks
+from bramleyfork.core import fleet
+from bramleyfork.core import replies
+from bramleyfork.core import verdicts
+from bramleyfork.decisions import tickets
+from bramleyfork.transports import callers
+
+VALID = {"lookup": "availability", "deadline_ms": 1500}
+
+
+class Client:
+    def __init__(self, fed, transport):
+        self.fed = fed
+        self.transport = transport
+        self.queries = fed.board.find_log("queries").open_cursor()
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def request(self, method, path, **options):
+        reply = self._pool.request(
+            method, f"http://{self.transport.address}{path}", **options
+        )
+        return reply.status, reply.json(), reply
+
+    def ask(self, body=VALID, **options):
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        return self.request("POST", "/v1/query", body=body, **options)[:2]
+
+    def ask_later(self, parameters):
+        result = []
+        thread = threading.Thread(
+            target=lambda: result.append(
+                self.ask(VALID | {"parameters": parameters})
+            )
+        )
+        thread.start()
+        return thread, result
+
+    def answer(self, query):
+        self.fed.append("answers", create_answer(query))
+
+
+def create_answer(query):
+    return replies.Answer(
+        query_id=query.query_id,
+        verdict=verdicts.Verdict.RAN,
+        code="ok",
+        snapshot=None,
+        coverage=1.0,
+        missing=(),
+        answers=(("booking-01", 17, query.parameters),),
+    )
+
+
+def start_client():
+    fed = boards.Board()
+    fed.put("declaration", "in_force", boards.create_entry())
+    transport = callers.CallerTransport(
+        board=fed.board,
+        settings=boards.create_settings(),
+        clock=clocks.SystemClock(),
+    )
+    transport.start()
+    return Client(fed, transport)
+
+
+@pytest.fixture
+def client():
+    started = start_client()
+    yield started
+    started.transport.stop()
+
+
+@pytest.fixture(scope="module")
+def shared_client():
+    """A client for tests that change nothing; starting one takes a second."""
+    started = start_client()
+    yield started
+    started.transport.stop()
+
+
+def test_crossed_answers_reach_their_own_callers(client):
+    # Guards H5: the answer to another caller's query.
+    asked = [client.ask_later(f"n={n}") for n in range(3)]
+    taken = [client.queries.wait_for_one(5) for _ in asked]
+    for query in reversed(taken):
+        client.answer(query)
+    for number, (thread, result) in enumerate(asked):
+        thread.join(5)
+        status, document = result[0]
+        assert status == 200
+        assert document["records"] == [["booking-01", 17, f"n={number}"]]
+
+
+def test_late_answer_is_dropped(client):
+    # Guards against a late answer being taken for the next query.
+    status, document = client.ask(VALID | {"deadline_ms": 1})
+    assert (status, document["code"]) in [
+        (504, "no_answer"),
+        (408, "deadline_past"),
+    ]
+    status, document = client.ask(VALID | {"deadline_ms": 60})
+    assert (status, document["code"]) == (504, "no_answer")
+    assert document["verdict"] == "MAY_HAVE_RUN"
+    late = client.queries.wait_for_one(5)
+    thread, result = client.ask_later("next")
+    query = client.queries.wait_for_one(5)
+    client.answer(late)
+    client.answer(query)
+    thread.join(5)
+    assert result[0][1]["query_id"] == query.query_id
+    assert not client.transport._waiters
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "code"),
+    [
+        (b"{", 400, "malformed"),
+        ({"lookup": "a", "deadline_ms": 9, "x": 1}, 400, "malformed"),
+        (VALID | {"deadline_ms": 2001}, 400, "bad_deadline"),
+        (b" " * 70_000, 413, "too_large"),
+        (b" " * 900_000, 413, "too_large"),
+    ],
+)
+def test_invalid_request_is_refused(shared_client, body, status, code):
+    got, document = shared_client.ask(body)
+    assert (got, document["code"]) == (status, code)
+    assert document["verdict"] == "NOT_RUN"
+    assert shared_client.queries.take() == []
+
+
+def test_deadline_includes_the_wait_for_a_thread(client):
+    # Guards against answers sent after the caller has given up.
+    blocked = [client.ask_later("blocked") for _ in range(4)]
+    taken = [client.queries.wait_for_one(5) for _ in blocked]
+    later = threading.Thread(
+        target=lambda: refused.append(client.ask(VALID | {"deadline_ms": 50}))
+    )
+    refused = []
+    later.start()
+    later.join(0.3)
+    for query in taken:
+        client.answer(query)
+    later.join(5)
+    assert (refused[0][0], refused[0][1]["code"]) == (408, "deadline_past")
+    for thread, _ in blocked:
+        thread.join(5)
+
+
+def test_host_without_configuration_refuses(client):
+    client.fed.remove("declaration", "in_force")
+    status, document = client.ask()
+    assert (status, document["code"]) == (503, "starting")
+    assert document["verdict"] == "NOT_RUN"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/v1/query", 405),
+        ("GET", "/v1/nothing", 404),
+        ("POST", "/v1/placement", 405),
+        ("GET", "/v1/placement?tickets=-1", 400),
+        ("GET", "/v1/placement?tickets=33", 400),
+        ("GET", "/v1/placement?colour=1", 400),
+        ("GET", "/v1/placement", 503),
+        ("GET", "/healthz", 200),
+    ],
+)
+def test_other_requests_have_json_answers(shared_client, method, path, status):
+    assert shared_client.request(method, path)[0] == status
+
+
+def test_placement_issues_tickets_of_this_process(client):
+    declaration = boards.create_declaration()
+    view = fleet.PlacementView(
+        hosts=tuple(declaration.hosts.values()),
+        loads={},
+        regions={"bilbao": "north"},
+        lifetime_s=5.0,
+    )
+    client.fed.put("placement", "current", view)
+    _, document, _ = client.request("GET", "/v1/placement?tickets=2")
+    assert document["hosts"][0]["host"] == "bilbao-1"
+    assert len(set(document["tickets"])) == 2
+    settings = client.transport.settings
+    for text in document["tickets"]:
+        result = tickets.check_ticket(
+            settings.ticket_key, "bilbao-1", 7, text, 0
+        )
+        assert result.is_ok()
+    _, document, _ = client.request(
+        "GET", "/v1/placement?tickets=2&data_centre=lisboa"
+    )
+    assert document["tickets"] == []
+
+
+def test_readiness_needs_phase_configuration_and_lease(client):
+    fed = client.fed
+    assert client.request("GET", "/readyz")[0] == 503
+    serving = fleet.Lifecycle(phase="serving", since=0.0)
+    fed.put("lifecycle", "current", serving)
+    status, document, _ = client.request("GET", "/readyz")
+    assert (status, "lease" in document["reason"]) == (503, True)
+    lease = fleet.Lease(expires_at=math.inf, source="exempt")
+    fed.put("lease", "current", lease)
+    assert client.request("GET", "/readyz")[0] == 200
+    fed.put("lifecycle", "current", serving.replace(phase="leaving"))
+    assert client.request("GET", "/readyz")[0] == 503
+
+
+def test_stop_lets_a_query_in_flight_end(client):
+    # Guards H9.
+    thread, result = client.ask_later("last")
+    query = client.queries.wait_for_one(5)
+    stopper = threading.Thread(target=client.transport.stop)
+    stopper.start()
+    client.answer(query)
+    thread.join(5)
+    stopper.join(10)
+    assert result[0][0] == 200
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        client.ask()
+
+
+def test_silent_connections_hold_no_thread(client):
+    # Guards against idle connections blocking every thread.
+    host, port = client.transport.address.rsplit(":", 1)
+    silent = [socket.create_connection((host, int(port))) for _ in range(20)]
+    assert client.request("GET", "/healthz", timeout=2.0)[0] == 200
+    for connection in silent:
+        connection.close()
+
+
+def test_slow_body_is_refused(client, monkeypatch):
+    # Guards against a body that arrives byte by byte holding a thread.
+    monkeypatch.setattr("bramleyfork.transports.servers._REQUEST_READ_S", 0.2)
+    host, port = client.transport.address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=5) as connection:
+        connection.sendall(
+            b"POST /v1/query HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{"
+        )
+        reply = connection.makefile("rb").read()
+    assert reply.startswith(b"HTTP/1.1 408")
+    assert b'"verdict":"NOT_RUN"' in reply
