--- /dev/null
+++ b/src/bramleyfork/configuration/manifests.py
@@ -0,0 +1,322 @@
+"""The manifest: which parts make up a configuration, and at which revision."""
+
+import collections.abc
+import hashlib
+import pathlib
+import re
+import tomllib
+import typing
+
+import expression
+
+from bramleyfork.configuration import tables
+from bramleyfork.core import records
+
+MANIFEST_KEY = "manifest"
+MANIFEST_FILE = "manifest.toml"
+PART_LIMIT = 1_000_000  # Bytes; the platform holds no larger values.
+REVISION_LIMIT = 2**63 - 1  # Largest integer of TOML and msgpack.
+
+_KEY_RULE = (
+    "a key of 1 to 64 lower-case letters, digits, '-' and '_' other than"
+    " 'manifest'"
+)
+_KEY_PATTERN = re.compile(r"[a-z0-9][a-z0-9_-]{0,63}")
+_DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+
+
+@tables.VALIDATORS.register("part key")
+def check_part_key(
+    option: tables.Option, value: typing.Any
+) -> expression.Result[typing.Any, str]:
+    """Accepts the platform key of a part."""
+    if (
+        isinstance(value, str)
+        and _KEY_PATTERN.fullmatch(value)
+        and value != MANIFEST_KEY
+    ):
+        return expression.Ok(value)
+    return expression.Error(_KEY_RULE)
+
+
+@tables.VALIDATORS.register("digest")
+def check_digest(
+    option: tables.Option, value: typing.Any
+) -> expression.Result[typing.Any, str]:
+    """Accepts a SHA-256 in hexadecimal."""
+    if isinstance(value, str) and _DIGEST_PATTERN.fullmatch(value):
+        return expression.Ok(value)
+    return expression.Error("a SHA-256 as 64 lower-case hexadecimal digits")
+
+
+@tables.VALIDATORS.register("parts")
+def check_parts(
+    option: tables.Option, value: typing.Any
+) -> expression.Result[typing.Any, str]:
+    """Accepts the list of parts; its entries are checked one by one."""
+    if isinstance(value, list) and value:
+        return expression.Ok(value)
+    return expression.Error("at least one [[parts]] table")
+
+
+MANIFEST_OPTIONS = (
+    tables.Option(
+        key="revision",
+        type="integer",
+        low=1,
+        high=REVISION_LIMIT,
+        purpose="Number of the configuration; each publication raises it.",
+    ),
+    tables.Option(
+        key="parts",
+        type="parts",
+        purpose="The parts of the configuration.",
+    ),
+)
+PART_OPTIONS = (
+    tables.Option(
+        key="key",
+        type="part key",
+        purpose="Key of the part on the platform; its file is <key>.toml.",
+    ),
+    tables.Option(
+        key="digest", type="digest", purpose="SHA-256 of the part's bytes."
+    ),
+    tables.Option(
+        key="size",
+        type="integer",
+        unit="bytes",
+        low=0,
+        high=PART_LIMIT,
+        purpose="Length of the part.",
+    ),
+)
+
+
+class Part(records.Record):
+    """A part as the manifest names it.
+
+    Attributes:
+      key: Key of the part on the platform.
+      digest: SHA-256 of its bytes, hexadecimal.
+      size: Its length, bytes.
+    """
+
+    __slots__ = ("key", "digest", "size")
+
+    def __init__(self, *, key: str, digest: str, size: int):
+        self.key = key
+        self.digest = digest
+        self.size = size
+
+
+class Manifest(records.Record):
+    """A checked manifest.
+
+    Attributes:
+      revision: Number given by the operators.
+      digest: SHA-256 of the manifest's own bytes, hexadecimal.
+      parts: The parts by key.
+    """
+
+    __slots__ = ("revision", "digest", "parts")
+
+    def __init__(self, *, revision: int, digest: str, parts: dict[str, Part]):
+        self.revision = revision
+        self.digest = digest
+        self.parts = parts
+
+
+def compute_digest(body: bytes) -> str:
+    """Returns the SHA-256 of ``body`` in hexadecimal."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def parse_toml(
+    body: bytes, file: str
+) -> expression.Result[dict[str, typing.Any], tuple[tables.Problem, ...]]:
+    """Decodes TOML; ``file`` names it in the problem."""
+    reason = None
+    try:
+        return expression.Ok(tomllib.loads(body.decode()))
+    except RecursionError:
+        reason = "tables and arrays are nested too deeply"
+    except ValueError as error:  # Not UTF-8, not TOML, or a number too long.
+        reason = str(error)
+    problem = tables.Problem(
+        file=file,
+        key="content",
+        value=body[:40],
+        allowed="TOML 1.0 in UTF-8",
+        advice=reason,
+    )
+    return expression.Error((problem,))
+
+
+def read_manifest(
+    body: bytes,
+) -> expression.Result[Manifest, tuple[tables.Problem, ...]]:
+    """Decodes and checks a manifest; reports every problem."""
+    if len(body) > PART_LIMIT:
+        problem = tables.Problem(
+            file=MANIFEST_FILE,
+            key="size",
+            value=len(body),
+            allowed=f"at most {PART_LIMIT} bytes",
+        )
+        return expression.Error((problem,))
+    parsed = parse_toml(body, MANIFEST_FILE)
+    if parsed.is_error():
+        return expression.Error(parsed.error)
+    checked = tables.check_options(
+        MANIFEST_OPTIONS, parsed.ok, file=MANIFEST_FILE
+    )
+    if checked.is_error():
+        return expression.Error(checked.error)
+    parts, problems = _read_parts(checked.ok["parts"])
+    if problems:
+        return expression.Error(tuple(problems))
+    return expression.Ok(
+        Manifest(
+            revision=checked.ok["revision"],
+            digest=compute_digest(body),
+            parts=parts,
+        )
+    )
+
+
+def _read_parts(
+    rows: list[typing.Any],
+) -> tuple[dict[str, Part], list[tables.Problem]]:
+    parts: dict[str, Part] = {}
+    problems: list[tables.Problem] = []
+    for index, row in enumerate(rows, start=1):
+        values = row if isinstance(row, dict) else {}
+        result = tables.check_options(
+            PART_OPTIONS, values, file=MANIFEST_FILE, prefix=f"parts[{index}]."
+        )
+        if result.is_error():
+            problems.extend(result.error)
+            continue
+        part = Part(**result.ok)
+        if part.key in parts:
+            problems.append(
+                tables.Problem(
+                    file=MANIFEST_FILE,
+                    key=f"parts[{index}].key",
+                    value=part.key,
+                    allowed="each key once",
+                )
+            )
+        parts[part.key] = part
+    return parts, problems
+
+
+def check_bodies(
+    manifest: Manifest, bodies: collections.abc.Mapping[str, bytes]
+) -> tuple[tables.Problem, ...]:
+    """Returns how the bodies differ from what the manifest names."""
+    problems = []
+    for key, part in manifest.parts.items():
+        body = bodies.get(key)
+        if body is None:
+            problems.append(
+                tables.Problem(
+                    file=f"{key}.toml",
+                    key="content",
+                    value=None,
+                    allowed=f"the part that {MANIFEST_FILE} names",
+                )
+            )
+        elif len(body) != part.size or compute_digest(body) != part.digest:
+            problems.append(
+                tables.Problem(
+                    file=f"{key}.toml",
+                    key="content",
+                    value=f"{len(body)} bytes, {compute_digest(body)}",
+                    allowed=f"{part.size} bytes with SHA-256 {part.digest}",
+                    advice="run publish-manifest after the last change",
+                )
+            )
+    for key in sorted(set(bodies) - set(manifest.parts) - {MANIFEST_KEY}):
+        allowed, advice = tables.check_unknown(key, manifest.parts)
+        problems.append(
+            tables.Problem(
+                file=f"{key}.toml",
+                key="unknown part",
+                value=key,
+                allowed=allowed,
+                advice=advice,
+            )
+        )
+    return tuple(problems)
+
+
+def read_folder(
+    folder: pathlib.Path,
+) -> expression.Result[dict[str, bytes], tuple[tables.Problem, ...]]:
+    """Returns the TOML files of a folder by key, a manifest included."""
+    bodies: dict[str, bytes] = {}
+    problems: list[tables.Problem] = []
+    for path in sorted(folder.glob("*.toml")):
+        if (
+            path.name != MANIFEST_FILE
+            and not check_part_key(PART_OPTIONS[0], path.stem).is_ok()
+        ):
+            problems.append(
+                tables.Problem(
+                    file=str(path),
+                    key="file name",
+                    value=path.name,
+                    allowed=f"<key>.toml with {_KEY_RULE}",
+                )
+            )
+            continue
+        body = path.read_bytes()
+        if len(body) > PART_LIMIT:
+            problems.append(
+                tables.Problem(
+                    file=str(path),
+                    key="size",
+                    value=len(body),
+                    allowed=f"at most {PART_LIMIT} bytes",
+                    advice="spread its tables over several files",
+                )
+            )
+        bodies[path.stem] = body
+    if problems:
+        return expression.Error(tuple(problems))
+    return expression.Ok(bodies)
+
+
+def build_manifest(
+    bodies: collections.abc.Mapping[str, bytes], *, revision: int
+) -> bytes:
+    """Returns the manifest of the given parts as TOML.
+
+    Args:
+      bodies: Content of each part by key; a manifest among them is left out.
+      revision: Revision to publish them at.
+    """
+    lines = [f"revision = {revision}"]
+    for key in sorted(set(bodies) - {MANIFEST_KEY}):
+        body = bodies[key]
+        lines += [
+            "",
+            "[[parts]]",
+            f'key = "{key}"',
+            f'digest = "{compute_digest(body)}"',
+            f"size = {len(body)}",
+        ]
+    return ("\n".join(lines) + "\n").encode()
+
+
+def build_folder_manifest(
+    folder: pathlib.Path, *, revision: int
+) -> expression.Result[dict[str, bytes], tuple[tables.Problem, ...]]:
+    """Returns a folder's parts by key together with a new manifest."""
+    return read_folder(folder).map(
+        lambda bodies: (
+            bodies | {MANIFEST_KEY: build_manifest(bodies, revision=revision)}
+        )
+    )
--- /dev/null
+++ b/src/bramleyfork/configuration/references.py
@@ -0,0 +1,141 @@
+"""Checks between the tables of a declaration."""
+
+import collections.abc
+
+from bramleyfork.configuration import tables
+from bramleyfork.configuration import templates
+from bramleyfork.core import registries
+
+Check = collections.abc.Callable[
+    [templates.Expanded], collections.abc.Iterable[tables.Problem]
+]
+CHECKS: registries.Registry[Check] = registries.Registry(kind="check")
+
+_TABLES_WITH_DATA_CENTRES = ("hosts", "targets")
+
+
+def check_references(expanded: templates.Expanded) -> list[tables.Problem]:
+    """Returns what all registered checks find."""
+    return [
+        problem
+        for _, check in CHECKS.list_items()
+        for problem in check(expanded)
+    ]
+
+
+@CHECKS.register("names")
+def check_names(
+    expanded: templates.Expanded,
+) -> collections.abc.Iterable[tables.Problem]:
+    """Reports names that occur twice in a table."""
+    for table, entries in expanded.items():
+        seen: dict[str, templates.Row] = {}
+        for entry in entries:
+            name = entry.record.name
+            if name in seen:
+                yield entry.row.report(
+                    "name",
+                    name,
+                    f"names that are unique among {table}",
+                    f"{seen[name].place} in {seen[name].file} has it too",
+                )
+            seen.setdefault(name, entry.row)
+
+
+@CHECKS.register("addresses")
+def check_addresses(
+    expanded: templates.Expanded,
+) -> collections.abc.Iterable[tables.Problem]:
+    """Reports addresses that two listeners would share."""
+    seen: dict[str, templates.Entry] = {}
+    for entry in [*expanded["hosts"], *expanded["targets"]]:
+        for key in ("peer_address", "caller_address", "address"):
+            address = getattr(entry.record, key, None)
+            if address is None:
+                continue
+            if address in seen:
+                holder = seen[address]
+                yield entry.row.report(
+                    key,
+                    address,
+                    "an address that nothing else has",
+                    f"{holder.record.name!r} in {holder.row.file} has it too",
+                )
+            seen.setdefault(address, entry)
+
+
+@CHECKS.register("data_centres")
+def check_data_centres(
+    expanded: templates.Expanded,
+) -> collections.abc.Iterable[tables.Problem]:
+    """Reports hosts and targets in data centres that are not declared."""
+    known = {entry.record.name for entry in expanded["data_centres"]}
+    for table in _TABLES_WITH_DATA_CENTRES:
+        for entry in expanded[table]:
+            name = entry.record.data_centre
+            if name not in known:
+                allowed, advice = tables.check_unknown(name, known)
+                yield entry.row.report("data_centre", name, allowed, advice)
+
+
+@CHECKS.register("services")
+def check_services(
+    expanded: templates.Expanded,
+) -> collections.abc.Iterable[tables.Problem]:
+    """Reports targets without a service and services without a target."""
+    known = {entry.record.name for entry in expanded["services"]}
+    served = set()
+    for entry in expanded["targets"]:
+        service = entry.record.service
+        served.add(service)
+        if service not in known:
+            near = tables.suggest_name(service, known)
+            advice = f"did you mean {near!r}?" if near else "declare it"
+            yield entry.row.report(
+                "service", service, "a declared service", advice
+            )
+    for entry in expanded["services"]:
+        if entry.record.name not in served:
+            yield entry.row.report(
+                "name", entry.record.name, "a service with a target"
+            )
+
+
+@CHECKS.register("lookups")
+def check_lookups(
+    expanded: templates.Expanded,
+) -> collections.abc.Iterable[tables.Problem]:
+    """Reports lookups that could not run at most once.
+
+    A lookup that is not idempotent makes one attempt at a time, which needs
+    it to touch a single segment: one key of one service.
+    """
+    for entry in expanded["lookups"]:
+        lookup = entry.record
+        if lookup.idempotent:
+            continue
+        if not lookup.keyed:
+            yield entry.row.report(
+                "keyed", False, "true, as the lookup is not idempotent"
+            )
+        if len(lookup.services) != 1:
+            yield entry.row.report(
+                "services",
+                list(lookup.services),
+                "exactly one service, as the lookup is not idempotent",
+            )
+
+
+@CHECKS.register("hosts")
+def check_hosts(
+    expanded: templates.Expanded,
+) -> collections.abc.Iterable[tables.Problem]:
+    """Reports a declaration without hosts."""
+    if not expanded["hosts"]:
+        yield tables.Problem(
+            file="manifest.toml",
+            key="[[hosts]]",
+            value=None,
+            allowed="at least one host",
+            advice="declare a host in one of the parts",
+        )
--- a/src/bramleyfork/configuration/settings.py
+++ b/src/bramleyfork/configuration/settings.py
@@ -1,7 +1,89 @@
 """Settings of one daemon, read once at its start."""
 
+import pathlib
+import time
+
+import expression
+
+from bramleyfork.configuration import manifests
+from bramleyfork.configuration import tables
 from bramleyfork.core import records
 
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+OPTIONS = (
+    tables.Option(
+        key="deployment",
+        type="name",
+        purpose="Name of the deployment; hosts of another one are refused.",
+    ),
+    tables.Option(
+        key="host", type="name", purpose="Name of this host, as declared."
+    ),
+    tables.Option(
+        key="data_centre",
+        type="name",
+        purpose="Data centre of this host, as declared.",
+    ),
+    tables.Option(
+        key="peer_address",
+        type="address",
+        purpose="Where to listen for other hosts; calls leave from its IP.",
+    ),
+    tables.Option(
+        key="caller_address",
+        type="address",
+        purpose="Where to listen for callers.",
+    ),
+    tables.Option(
+        key="administration_address",
+        type="address",
+        purpose="Where to listen for operators.",
+    ),
+    tables.Option(
+        key="platform_address",
+        type="address",
+        purpose="Address of the platform's configuration service.",
+    ),
+    tables.Option(
+        key="seeds",
+        type="addresses",
+        default=(),
+        purpose="Peer addresses to ask at start; may include this host.",
+    ),
+    tables.Option(
+        key="caller_threads",
+        type="integer",
+        default=64,
+        unit="queries",
+        low=1,
+        high=1024,
+        purpose="Queries served at once.",
+    ),
+    tables.Option(
+        key="target_threads",
+        type="integer",
+        default=64,
+        unit="attempts",
+        low=1,
+        high=1024,
+        purpose="Attempts in flight at once.",
+    ),
+    tables.Option(
+        key="log_level",
+        type="choice",
+        default="INFO",
+        choices=LOG_LEVELS,
+        purpose="Lowest level of logs written.",
+    ),
+    tables.Option(
+        key="cut_file",
+        type="path",
+        default=None,
+        purpose="For tests: file naming peers to cut off.",
+    ),
+)
+
 
 class Settings(records.Record):
     """Checked settings of a daemon.
@@ -69,3 +151,54 @@
         self.target_threads = target_threads
         self.log_level = log_level
         self.cut_file = cut_file
+
+
+def load_settings(
+    path: str | pathlib.Path,
+) -> expression.Result[Settings, tuple[tables.Problem, ...]]:
+    """Reads and checks a settings file; reports every problem.
+
+    The incarnation is the time of the call.
+
+    Args:
+      path: A TOML file with the keys of OPTIONS.
+    """
+    file = str(path)
+    try:
+        body = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = tables.Problem(
+            file=file,
+            key="content",
+            value=None,
+            allowed="a readable settings file",
+            advice=f"{error.strerror}; check the path",
+        )
+        return expression.Error((problem,))
+    checked = manifests.parse_toml(body, file).bind(
+        lambda values: tables.check_options(OPTIONS, values, file=file)
+    )
+    return checked.bind(lambda values: _build_settings(values, file))
+
+
+def _build_settings(
+    values: dict, file: str
+) -> expression.Result[Settings, tuple[tables.Problem, ...]]:
+    problems = []
+    seen: dict[str, str] = {}
+    for key in ("peer_address", "caller_address", "administration_address"):
+        address = values[key]
+        if address in seen:
+            problems.append(
+                tables.Problem(
+                    file=file,
+                    key=key,
+                    value=address,
+                    allowed=f"an address other than {seen[address]}",
+                )
+            )
+        seen.setdefault(address, key)
+    if problems:
+        return expression.Error(tuple(problems))
+    incarnation = time.time_ns() // 1_000_000
+    return expression.Ok(Settings(incarnation=incarnation, **values))
--- /dev/null
+++ b/src/bramleyfork/configuration/templates.py
@@ -0,0 +1,256 @@
+"""Rows of a declaration and their expansion into records."""
+
+import collections.abc
+import fnmatch
+import functools
+import re
+import typing
+
+from bramleyfork.configuration import tables
+from bramleyfork.core import declarations
+from bramleyfork.core import records
+from bramleyfork.core import registries
+
+# More targets than any deployment has; bounds the memory that a mistyped
+# template can take. The design size is 68,000.
+TARGET_LIMIT = 200_000
+
+
+class Row(records.Record):
+    """A checked table of a part.
+
+    Attributes:
+      file: File of the part.
+      place: Table and name, as problems show it.
+      index: Position among the tables of its kind in the file, from 1.
+      values: A value for each option.
+    """
+
+    __slots__ = ("file", "place", "index", "values")
+
+    def __init__(
+        self,
+        *,
+        file: str,
+        place: str,
+        index: int,
+        values: dict[str, typing.Any],
+    ):
+        self.file = file
+        self.place = place
+        self.index = index
+        self.values = values
+
+    def report(
+        self, key: str, value: typing.Any, allowed: str, advice: str = ""
+    ) -> tables.Problem:
+        """Returns a problem with one of the row's keys."""
+        return tables.Problem(
+            file=self.file,
+            key=f"{self.place}.{key}",
+            value=value,
+            allowed=allowed,
+            advice=advice,
+        )
+
+
+class Entry(records.Record):
+    """A record of the declaration and the row it came from.
+
+    Attributes:
+      record: A declared data centre, host, service, target or lookup.
+      row: Where it was declared.
+    """
+
+    __slots__ = ("record", "row")
+
+    def __init__(self, *, record: typing.Any, row: Row):
+        self.record = record
+        self.row = row
+
+
+Expanded = dict[str, list[Entry]]
+# An expander turns one row into entries and problems; it sees the entries of
+# the tables expanded before.
+Expander = collections.abc.Callable[
+    [Row, Expanded], tuple[list[Entry], list[tables.Problem]]
+]
+EXPANDERS: registries.Registry[Expander] = registries.Registry(kind="table")
+
+# Targets and lookups refer to services by pattern.
+_ORDER = ("data_centres", "hosts", "services", "targets", "lookups")
+
+
+def expand_rows(
+    rows: dict[str, list[Row]],
+) -> tuple[Expanded, list[tables.Problem]]:
+    """Returns the records that the rows declare, by table, and problems."""
+    expanded: Expanded = {table: [] for table in _ORDER}
+    problems: list[tables.Problem] = []
+    for table in _ORDER:
+        expand = EXPANDERS.find(table)
+        for row in rows[table]:
+            entries, faults = expand(row, expanded)
+            expanded[table].extend(entries)
+            problems.extend(faults)
+    return expanded, problems
+
+
+def match_services(pattern: str, expanded: Expanded) -> list[str]:
+    """Returns the services that a name or pattern names, as declared."""
+    if "*" not in pattern:
+        names = {entry.record.name for entry in expanded["services"]}
+        return [pattern] if pattern in names else []
+    compiled = _compile_pattern(pattern)
+    return [
+        entry.record.name
+        for entry in expanded["services"]
+        if compiled.fullmatch(entry.record.name)
+    ]
+
+
+@functools.lru_cache(maxsize=1024)
+def _compile_pattern(pattern: str) -> re.Pattern[str]:
+    return re.compile(fnmatch.translate(pattern))
+
+
+def _report_no_service(
+    row: Row, key: str, pattern: str, expanded: Expanded
+) -> tables.Problem:
+    names = [entry.record.name for entry in expanded["services"]]
+    near = tables.suggest_name(pattern, names)
+    advice = f"did you mean {near!r}?" if near else "declare the service"
+    return row.report(
+        key, pattern, "a declared service or a pattern that matches one", advice
+    )
+
+
+@EXPANDERS.register("data_centres")
+def expand_data_centre(
+    row: Row, expanded: Expanded
+) -> tuple[list[Entry], list[tables.Problem]]:
+    """Returns one data centre."""
+    record = declarations.DataCentre(**row.values)
+    return [Entry(record=record, row=row)], []
+
+
+@EXPANDERS.register("hosts")
+def expand_host(
+    row: Row, expanded: Expanded
+) -> tuple[list[Entry], list[tables.Problem]]:
+    """Returns one host."""
+    return [Entry(record=declarations.Host(**row.values), row=row)], []
+
+
+@EXPANDERS.register("services")
+def expand_service(
+    row: Row, expanded: Expanded
+) -> tuple[list[Entry], list[tables.Problem]]:
+    """Returns one service, or ``count`` numbered ones."""
+    values = dict(row.values)
+    count = values.pop("count")
+    if values["queue"] is None:
+        values["queue"] = 2 * values["slots"]
+    first = declarations.Service(**values)
+    if not count:
+        return [Entry(record=first, row=row)], []
+    width = max(2, len(str(count)))
+    return [
+        Entry(record=first.replace(name=f"{first.name}-{n:0{width}}"), row=row)
+        for n in range(1, count + 1)
+    ], []
+
+
+@EXPANDERS.register("targets")
+def expand_target(
+    row: Row, expanded: Expanded
+) -> tuple[list[Entry], list[tables.Problem]]:
+    """Returns one target, or those of a template."""
+    if "replicas" in row.values:
+        return _expand_target_template(row, expanded)
+    return [Entry(record=declarations.Target(**row.values), row=row)], []
+
+
+def _expand_target_template(
+    row: Row, expanded: Expanded
+) -> tuple[list[Entry], list[tables.Problem]]:
+    values = row.values
+    services = match_services(values["service"], expanded)
+    problems = _check_target_template(row, services, expanded)
+    if problems:
+        return [], problems
+    out = set(values["out"])
+    places = list(zip(values["data_centres"], values["addresses"], strict=True))
+    entries = []
+    for number, service in enumerate(services):
+        for replica in range(values["replicas"]):
+            data_centre, ip = places[(number + replica) % len(places)]
+            port = values["first_port"] + len(entries)
+            name = f"{service}-{replica + 1}"
+            record = declarations.Target(
+                name=name,
+                service=service,
+                data_centre=data_centre,
+                address=f"[{ip}]:{port}" if ":" in ip else f"{ip}:{port}",
+                out=name in out,
+            )
+            entries.append(Entry(record=record, row=row))
+    unknown = sorted(out - {entry.record.name for entry in entries})
+    problems = [
+        row.report("out", name, "names of targets of this template")
+        for name in unknown
+    ]
+    return entries, problems
+
+
+def _check_target_template(
+    row: Row, services: list[str], expanded: Expanded
+) -> list[tables.Problem]:
+    values = row.values
+    if not services:
+        return [_report_no_service(row, "service", values["service"], expanded)]
+    if len(values["addresses"]) != len(values["data_centres"]):
+        return [
+            row.report(
+                "addresses",
+                list(values["addresses"]),
+                f"one IP address for each of {list(values['data_centres'])!r}",
+            )
+        ]
+    count = len(services) * values["replicas"]
+    if len(expanded["targets"]) + count > TARGET_LIMIT:
+        return [
+            row.report(
+                "replicas",
+                values["replicas"],
+                f"at most {TARGET_LIMIT} targets in all",
+            )
+        ]
+    last = 65535 - count + 1
+    if values["first_port"] > last:
+        return [
+            row.report(
+                "first_port",
+                values["first_port"],
+                f"at most {last}, as the template makes {count} targets",
+            )
+        ]
+    return []
+
+
+@EXPANDERS.register("lookups")
+def expand_lookup(
+    row: Row, expanded: Expanded
+) -> tuple[list[Entry], list[tables.Problem]]:
+    """Returns one lookup with its services by name."""
+    services: dict[str, None] = {}
+    problems = []
+    for pattern in row.values["services"]:
+        matched = match_services(pattern, expanded)
+        if not matched:
+            problems.append(
+                _report_no_service(row, "services", pattern, expanded)
+            )
+        services.update(dict.fromkeys(matched))
+    record = declarations.Lookup(**{**row.values, "services": tuple(services)})
+    return [Entry(record=record, row=row)], problems
