--- a/tests/controllers/test_ownership.py
+++ b/tests/controllers/test_ownership.py
@@ -1,4 +1,5 @@
 import pytest
+from tests import creators
 
 from bramleyfork.controllers import ownership
 from bramleyfork.core import fleet
@@ -6,7 +7,6 @@
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import shares
-import creators
 
 NOW = 1000.0
 READY = NOW + shares.GAIN_DELAY_S
--- a/tests/decisions/test_queues.py
+++ b/tests/decisions/test_queues.py
@@ -1,5 +1,6 @@
+from tests import creators
+
 from bramleyfork.decisions import queues
-import creators
 
 
 def create_queue(*entries, limit=100):
--- a/tests/decisions/test_shares.py
+++ b/tests/decisions/test_shares.py
@@ -1,9 +1,9 @@
 import hypothesis
 from hypothesis import strategies
 import pytest
+from tests import creators
 
 from bramleyfork.decisions import shares
-import creators
 
 
 @pytest.mark.parametrize("strategy", shares.STRATEGIES.list_names())
