--- /dev/null
+++ b/src/bramleyfork/codecs/formats.py
@@ -0,0 +1,205 @@
+"""The registries of message formats and the checks that they share."""
+
+import collections.abc
+import itertools
+import math
+import typing
+
+from bramleyfork.core import ranges
+from bramleyfork.core import records
+from bramleyfork.core import registries
+from bramleyfork.core import requests
+
+CONTROL = "control"
+DATA = "data"
+
+NONE = type(None)
+
+_COUNT_LIMIT = 2**63  # Numbers stay within a signed 64-bit integer.
+_VALUE_DEPTH = 64  # Python's own recursion limit is 1000 frames.
+_SCALARS = frozenset((str, int, float, bool, NONE))
+
+Encode = collections.abc.Callable[[typing.Any, float], list]
+Decode = collections.abc.Callable[[list, float, str], records.Record]
+
+
+class FrameError(Exception):
+    """Bytes are not a valid message, or a message cannot be encoded.
+
+    Attributes:
+      reason: "malformed", "unknown_kind", "wrong_type", "too_large",
+        "truncated" or "not_encodable".
+      detail: What was found, for people.
+    """
+
+    def __init__(self, *, reason: str, detail: str):
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.detail = detail
+
+
+class InvalidFieldError(ValueError):
+    """A field has a value that its message does not allow."""
+
+
+class Decoder:
+    """How fields of one kind become a record.
+
+    Attributes:
+      shapes: Allowed types of the fields, the kind included.
+      decode: Builds the record.
+    """
+
+    __slots__ = ("shapes", "decode")
+
+    def __init__(self, *, shapes: frozenset[tuple], decode: Decode):
+        self.shapes = shapes
+        self.decode = decode
+
+
+ENCODERS: registries.Registry[Encode] = registries.Registry(
+    kind="message encoder"
+)
+DECODERS: registries.Registry[Decoder] = registries.Registry(
+    kind="message kind"
+)
+KINDS: dict[type[records.Record], str] = {}
+GROUPS: dict[str, str] = {}  # CONTROL or DATA by kind.
+
+
+def encodes(
+    kind: str, record_class: type[records.Record], group: str = CONTROL
+) -> collections.abc.Callable[[Encode], Encode]:
+    """Returns a decorator for the function that lists a record's fields.
+
+    Args:
+      kind: First field of the message.
+      record_class: Class of the record.
+      group: CONTROL or DATA, for the traffic counters.
+    """
+    KINDS[record_class] = kind
+    GROUPS[kind] = group
+    return ENCODERS.register(kind)
+
+
+def decodes(
+    kind: str, *types: type | tuple[type, ...]
+) -> collections.abc.Callable[[Decode], Decode]:
+    """Returns a decorator for the function that builds a record.
+
+    Args:
+      kind: First field of the message.
+      *types: Type of each further field, or a tuple of the allowed ones.
+    """
+    choices = [t if isinstance(t, tuple) else (t,) for t in types]
+    shapes = frozenset(itertools.product((str,), *choices))
+
+    def store(decode: Decode) -> Decode:
+        DECODERS.register(kind)(Decoder(shapes=shapes, decode=decode))
+        return decode
+
+    return store
+
+
+def check_count(value: int) -> int:
+    """Returns a number that must be in [0, 2**63)."""
+    if not 0 <= value < _COUNT_LIMIT:
+        raise InvalidFieldError(f"number {value!r} must be in [0, 2**63)")
+    return value
+
+
+def check_amount(value: float) -> float:
+    """Returns a number that must be finite and not negative."""
+    if not 0.0 <= value < math.inf:
+        raise InvalidFieldError(f"{value!r} must be finite and not negative")
+    return value
+
+
+def check_choice(
+    value: str, choices: collections.abc.Container[str], field: str
+) -> str:
+    """Returns a text that must be one of ``choices``."""
+    if value not in choices:
+        raise InvalidFieldError(f"{field} {value!r} is not one of {choices!r}")
+    return value
+
+
+def check_name(value: str, field: str) -> str:
+    """Returns a text that must not be empty."""
+    if not value:
+        raise InvalidFieldError(f"{field} must not be empty")
+    return value
+
+
+def check_texts(values: list) -> tuple[str, ...]:
+    """Returns a list that must hold texts only, as a tuple."""
+    for value in values:
+        if type(value) is not str:
+            raise InvalidFieldError(f"{value!r} must be a text")
+    return tuple(values)
+
+
+def check_shape(value: typing.Any, shape: tuple[type, ...]) -> list:
+    """Returns a list whose items must have the types of ``shape``."""
+    if type(value) is not list or tuple(map(type, value)) != shape:
+        names = ", ".join(t.__name__ for t in shape)
+        raise InvalidFieldError(f"{value!r:.80} must be a list of {names}")
+    return value
+
+
+def check_value(value: typing.Any, depth: int = 0) -> None:
+    """Checks that a value of a target's record is one that JSON has."""
+    if type(value) in _SCALARS:
+        return
+    if depth > _VALUE_DEPTH:
+        raise InvalidFieldError(f"a value is nested over {_VALUE_DEPTH} deep")
+    if type(value) is list:
+        for item in value:
+            check_value(item, depth + 1)
+        return
+    if type(value) is not dict:
+        raise InvalidFieldError(f"a value has type {type(value).__name__}")
+    for key, item in value.items():
+        if type(key) is not str:
+            raise InvalidFieldError(f"{key!r} must be a text")
+        check_value(item, depth + 1)
+
+
+def build_range(pair: typing.Any) -> ranges.KeyRange:
+    """Returns the key range of ``[low, high]``; raises ValueError."""
+    low, high = check_shape(pair, (int, int))
+    return ranges.KeyRange(low=low, high=high)
+
+
+def build_snapshot(pair: typing.Any) -> requests.Snapshot:
+    """Returns the snapshot of ``[index_version, map_version]``."""
+    index_version, map_version = check_shape(pair, (int, int))
+    return requests.Snapshot(
+        index_version=check_count(index_version),
+        map_version=check_count(map_version),
+    )
+
+
+def list_holdings(holdings: tuple[requests.Holding, ...]) -> list:
+    """Returns the fields of holdings."""
+    return [
+        (
+            (h.snapshot.index_version, h.snapshot.map_version),
+            (h.key_range.low, h.key_range.high),
+        )
+        for h in holdings
+    ]
+
+
+def build_holdings(rows: list) -> tuple[requests.Holding, ...]:
+    """Returns the holdings of ``[[snapshot, key_range], ...]``."""
+    built = []
+    for row in rows:
+        snapshot, key_range = check_shape(row, (list, list))
+        built.append(
+            requests.Holding(
+                snapshot=build_snapshot(snapshot),
+                key_range=build_range(key_range),
+            )
+        )
+    return tuple(built)
--- /dev/null
+++ b/src/bramleyfork/codecs/frames.py
@@ -0,0 +1,190 @@
+"""Msgpack messages between hosts: one array ``[kind, field, ...]`` each."""
+
+import expression
+import msgpack
+
+from bramleyfork.codecs import control_formats  # noqa: F401 (registers)
+from bramleyfork.codecs import formats
+from bramleyfork.codecs import request_formats  # noqa: F401 (registers)
+from bramleyfork.core import records
+from bramleyfork.core import registries
+
+PROTOCOL = 1  # Version in the hello message.
+
+# A part of the configuration has at most 1 MiB; the rest is for its other
+# fields.
+MESSAGE_LIMIT = (1 << 20) + (64 << 10)
+
+FrameError = formats.FrameError
+
+# Msgpack reserves the memory of an array before its items arrive, also for
+# nested arrays, so its length is bounded well below the message limit.
+_ARRAY_LIMIT = 1 << 16
+_CHUNK = 256 << 10  # Bytes handed to msgpack at once.
+
+
+class Frame:
+    """A decoded message.
+
+    Attributes:
+      kind: Its kind.
+      size: Its length on the stream, bytes.
+      message: The record.
+    """
+
+    __slots__ = ("kind", "size", "message")
+
+    def __init__(self, *, kind: str, size: int, message: records.Record):
+        self.kind = kind
+        self.size = size
+        self.message = message
+
+
+class FrameEncoder:
+    """Turns records into bytes; used by one thread."""
+
+    __slots__ = ("_packer",)
+
+    def __init__(self):
+        self._packer = msgpack.Packer()
+
+    def encode(
+        self, message: records.Record, now: float
+    ) -> expression.Result[bytes, FrameError]:
+        """Returns the bytes of a message.
+
+        Args:
+          message: A record of a registered kind.
+          now: Monotonic seconds, from which remaining times are counted.
+        """
+        kind = formats.KINDS.get(type(message))
+        if kind is None:
+            return _refuse("unknown_kind", f"no format for {type(message)!r}")
+        try:
+            data = self._packer.pack(formats.ENCODERS.find(kind)(message, now))
+        except (TypeError, ValueError, OverflowError) as error:
+            # A packer keeps the bytes of a failed message otherwise.
+            self._packer.reset()
+            return _refuse("not_encodable", f"{kind}: {error}")
+        if len(data) > MESSAGE_LIMIT:
+            return _refuse("too_large", f"{kind} of {len(data)} bytes")
+        return expression.Ok(data)
+
+
+class FrameDecoder:
+    """Turns the bytes of one stream into records.
+
+    After the first error every call returns that error.
+
+    Args:
+      host: Name of this host, the receiver of the messages.
+    """
+
+    __slots__ = ("_host", "_unpacker", "_fed", "_start", "_error")
+
+    def __init__(self, *, host: str):
+        self._host = host
+        self._fed = 0
+        self._start = 0  # Offset at which the unfinished message begins.
+        self._error: FrameError | None = None
+        self._unpacker = msgpack.Unpacker(
+            max_buffer_size=MESSAGE_LIMIT + _CHUNK,
+            max_array_len=_ARRAY_LIMIT,
+            max_map_len=_ARRAY_LIMIT,
+            max_str_len=MESSAGE_LIMIT,
+            max_bin_len=MESSAGE_LIMIT,
+            max_ext_len=0,
+        )
+
+    def feed(
+        self, data: bytes, now: float
+    ) -> expression.Result[list[Frame], FrameError]:
+        """Returns the messages that ``data`` completes.
+
+        Messages before an invalid one in the same ``data`` are given up with
+        the stream.
+
+        Args:
+          data: The next bytes of the stream.
+          now: Monotonic seconds, to which remaining times are added.
+        """
+        if self._error is not None:
+            return expression.Error(self._error)
+        frames: list[Frame] = []
+        try:
+            for begin in range(0, len(data), _CHUNK):
+                self._feed_chunk(data[begin : begin + _CHUNK], now, frames)
+        except FrameError as error:
+            self._error = error
+            return expression.Error(error)
+        return expression.Ok(frames)
+
+    def finish(self) -> expression.Result[None, FrameError]:
+        """Returns an error if the stream ended within a message."""
+        if self._error is not None:
+            return expression.Error(self._error)
+        missing = self._fed - self._start
+        if missing:
+            return _refuse("truncated", f"{missing} bytes of a message")
+        return expression.Ok(None)
+
+    def _feed_chunk(self, data: bytes, now: float, frames: list[Frame]) -> None:
+        unpacker = self._unpacker
+        try:
+            unpacker.feed(data)
+            self._fed += len(data)
+            for fields in unpacker:
+                end = unpacker.tell()
+                size = end - self._start
+                self._check_size(size)
+                self._start = end
+                frames.append(self._build(fields, size, now))
+        except FrameError:
+            raise
+        except (
+            *(ValueError, TypeError, OverflowError),
+            *(MemoryError, msgpack.UnpackException),
+        ) as error:
+            raise FrameError(
+                reason="malformed", detail=f"{type(error).__name__}: {error}"
+            ) from None
+        # Msgpack consumes the items of an unfinished array as they come, so
+        # its own buffer limit does not bound the message.
+        self._check_size(self._fed - self._start)
+
+    def _check_size(self, size: int) -> None:
+        if size > MESSAGE_LIMIT:
+            raise FrameError(
+                reason="too_large",
+                detail=f"a message is over {MESSAGE_LIMIT} bytes",
+            )
+
+    def _build(self, fields: object, size: int, now: float) -> Frame:
+        if type(fields) is not list or not fields:
+            raise FrameError(reason="malformed", detail="not an array")
+        kind = fields[0]
+        if type(kind) is not str:
+            raise FrameError(reason="malformed", detail="the kind is no text")
+        try:
+            decoder = formats.DECODERS.find(kind)
+        except registries.UnknownNameError as error:
+            raise FrameError(
+                reason="unknown_kind", detail=f"{str(error):.200}"
+            ) from None
+        if tuple(map(type, fields)) not in decoder.shapes:
+            raise FrameError(
+                reason="wrong_type",
+                detail=f"{kind} with fields of types"
+                f" {[type(f).__name__ for f in fields[1:33]]}",
+            )
+        try:
+            message = decoder.decode(fields, now, self._host)
+        except ValueError as error:
+            raise FrameError(
+                reason="wrong_type", detail=f"{kind}: {str(error):.200}"
+            ) from None
+        return Frame(kind=kind, size=size, message=message)
+
+
+def _refuse(reason: str, detail: str) -> expression.Result:
+    return expression.Error(FrameError(reason=reason, detail=detail))
--- a/src/bramleyfork/core/messages.py
+++ b/src/bramleyfork/core/messages.py
@@ -39,6 +39,37 @@
         self.message = message
 
 
+class Hello(records.Record):
+    """Opens a stream; the first message that each side sends.
+
+    Attributes:
+      protocol: Version of the protocol between hosts.
+      deployment: Deployment of the sender.
+      host: Name of the sender.
+      incarnation: Incarnation of the sender's process.
+    """
+
+    __slots__ = (
+        "protocol",
+        "deployment",
+        "host",
+        "incarnation",
+    )
+
+    def __init__(
+        self,
+        *,
+        protocol: int,
+        deployment: str,
+        host: str,
+        incarnation: int,
+    ):
+        self.protocol = protocol
+        self.deployment = deployment
+        self.host = host
+        self.incarnation = incarnation
+
+
 class MemberUpdate(records.Record):
     """Membership news that rides on pings and acks.
 
