Add the target stand-in and the launcher

Change: standins.target hosts many targets in one process. Before: no stand-ins. The stand-in has no tests of its own yet.

--- /dev/null
+++ b/src/standins/launch.py
@@ -0,0 +1,149 @@
+"""Starts and stops stand-in processes from tests and benchmarks."""
+
+import json
+import pathlib
+import select
+import subprocess
+import sys
+import tempfile
+import typing
+
+import urllib3
+
+READY_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 5.0
+
+Document = dict[str, typing.Any]
+
+
+class LaunchError(Exception):
+    """A stand-in did not become ready or refused a control call."""
+
+
+def build_target(name: str, service: str, **fields: typing.Any) -> Document:
+    """Returns the settings of one target; see target.settings for fields."""
+    return {"name": name, "service": service, **fields}
+
+
+def build_targets(
+    targets: list[Document],
+    control: str = "127.0.0.1:0",
+    **defaults: typing.Any,
+) -> Document:
+    """Returns the settings document of the target program.
+
+    Args:
+      targets: From build_target.
+      control: address:port for control calls to any target.
+      **defaults: Fields for every target that does not set them.
+    """
+    return {"control": control, "defaults": defaults, "targets": targets}
+
+
+def build_platform(
+    folder: str | pathlib.Path,
+    address: str = "127.0.0.1:0",
+    **fields: typing.Any,
+) -> Document:
+    """Returns the settings document of the platform program."""
+    return {"address": address, "folder": str(folder), **fields}
+
+
+class StandIn:
+    """A running stand-in process.
+
+    Args:
+      program: "target" or "platform".
+      settings: The settings document.
+
+    Attributes:
+      ready: Fields of the ready line, with the addresses.
+    """
+
+    __slots__ = ("ready", "_process", "_folder", "_http")
+
+    def __init__(self, *, program: str, settings: Document):
+        self._http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self._folder = tempfile.TemporaryDirectory(prefix="standins-")
+        path = pathlib.Path(self._folder.name, "settings.json")
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", f"standins.{program}", "--settings", path],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        try:
+            self.ready = self._await_ready()
+        except BaseException:
+            self.stop()
+            raise
+
+    def __enter__(self) -> typing.Self:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    def control(
+        self, name: str, *, target: str = "", **body: object
+    ) -> Document:
+        """Makes a control call.
+
+        Args:
+          name: Name of the call.
+          target: One target of the target program; all if empty.
+          **body: Its JSON body.
+        """
+        return self._call("POST", name, target, json.dumps(body))
+
+    def read(self, name: str, *, target: str = "") -> Document:
+        """Returns a control document: "journal" or "calls"."""
+        return self._call("GET", name, target, None)
+
+    def stop(self) -> int:
+        """Ends the process; returns its exit status."""
+        self._process.terminate()
+        try:
+            status = self._process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            status = self._process.wait()
+        self._process.stdout.close()
+        self._http.clear()
+        self._folder.cleanup()
+        return status
+
+    def _await_ready(self) -> Document:
+        readable, _, _ = select.select(
+            [self._process.stdout], [], [], READY_TIMEOUT_S
+        )
+        line = self._process.stdout.readline() if readable else ""
+        if not line:
+            raise LaunchError(
+                f"stand-in {self._process.pid} is not ready after"
+                f" {READY_TIMEOUT_S} s or has ended; see its standard error"
+            )
+        return json.loads(line)
+
+    def _call(
+        self, method: str, name: str, target: str, body: str | None
+    ) -> Document:
+        query = f"?target={target}" if target else ""
+        url = f"http://{self.ready['control']}/control/{name}{query}"
+        reply = self._http.request(method, url, body=body)
+        if reply.status != 200:
+            raise LaunchError(
+                f"{method} {url} answered {reply.status}: {reply.data!r}"
+            )
+        return json.loads(reply.data)
+
+
+def start_targets(settings: Document) -> StandIn:
+    """Starts the target program and waits until it listens."""
+    return StandIn(program="target", settings=settings)
+
+
+def start_platform(settings: Document) -> StandIn:
+    """Starts the platform program and waits until it listens."""
+    return StandIn(program="platform", settings=settings)
--- /dev/null
+++ b/src/standins/listeners.py
@@ -0,0 +1,60 @@
+"""A listening address that can stop and listen again on the same port."""
+
+import asyncio
+import collections.abc
+import socket
+
+from aiohttp import web
+
+from standins import connections
+
+Handler = collections.abc.Callable[
+    [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
+]
+
+
+class Listener:
+    """Accepts connections on one address.
+
+    Args:
+      address: address:port; port 0 takes a free port once.
+      owner: Asked about each connection.
+      handler: Answers each request.
+    """
+
+    __slots__ = ("address", "_owner", "_manager", "_holder", "_server")
+
+    def __init__(
+        self, *, address: str, owner: connections.Owner, handler: Handler
+    ):
+        self._owner = owner
+        self._manager = web.Server(handler)
+        host, _, port = address.rpartition(":")
+        # This socket never listens. It keeps the port from being given to
+        # another process while the listener is stopped.
+        self._holder = socket.socket()
+        self._holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._holder.bind((host, int(port)))
+        self.address = f"{host}:{self._holder.getsockname()[1]}"
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Starts to accept connections."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connect, host, int(port), backlog=1024
+        )
+
+    def refuse(self) -> None:
+        """Stops listening; open connections stay."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close(self) -> None:
+        """Stops listening and gives up the port."""
+        self.refuse()
+        self._holder.close()
+
+    def _connect(self) -> connections.Connection:
+        return connections.Connection(self._manager, owner=self._owner)
--- /dev/null
+++ b/src/standins/target/__init__.py
@@ -0,0 +1,1 @@
+"""A process that stands in for many targets, each on its own address."""
--- /dev/null
+++ b/src/standins/target/commands.py
@@ -0,0 +1,89 @@
+"""Control calls of a target: checks of their bodies.
+
+Each function returns the checked body or raises ValueError.
+"""
+
+import typing
+
+from standins.target import kinds
+from standins.target import settings as target_settings
+
+Body = dict[str, typing.Any]
+
+NO_FAULTS: Body = {
+    "delay_ms": 0.0,
+    "delay_probability": 1.0,
+    "crash_on": "",
+    "wrong_attempt_id": False,
+    "cut_reply": False,
+}
+
+
+def check_fields(body: Body, defaults: Body) -> Body:
+    """Returns the body completed with defaults; unknown fields are refused."""
+    unknown = sorted(set(body) - set(defaults))
+    if unknown:
+        raise ValueError(
+            f"unknown field {unknown[0]!r}; valid fields: {sorted(defaults)}"
+        )
+    return {**defaults, **body}
+
+
+@kinds.COMMANDS.register("faults")
+def check_faults(body: Body) -> Body:
+    """Replaces all faults of a target; an empty body removes them.
+
+    ``wrong_attempt_id`` and ``cut_reply`` take true for every reply or the
+    number of replies to spoil.
+    """
+    return check_fields(body, NO_FAULTS)
+
+
+@kinds.COMMANDS.register("cold")
+def check_cold(body: Body) -> Body:
+    """Turns a target cold within its epoch."""
+    return check_fields(body, {"silent": False})
+
+
+@kinds.COMMANDS.register("leave")
+def check_leave(body: Body) -> Body:
+    """Makes a target drain."""
+    return check_fields(body, {})
+
+
+@kinds.COMMANDS.register("return")
+def check_return(body: Body) -> Body:
+    """Ends a drain."""
+    return check_fields(body, {})
+
+
+@kinds.COMMANDS.register("crash")
+def check_crash(body: Body) -> Body:
+    """Crashes a target; ``restart_after_s`` replaces the setting once."""
+    if set(body) - {"restart_after_s"}:
+        raise ValueError(f"crash takes only restart_after_s, not {body!r}")
+    return body
+
+
+@kinds.COMMANDS.register("holdings")
+def check_holdings(body: Body) -> Body:
+    """Replaces the holdings of a target."""
+    body = check_fields(body, {"holdings": []})
+    try:
+        rows = target_settings.check_holdings(body["holdings"])
+    except target_settings.SettingsError as error:
+        raise ValueError(str(error)) from None
+    return {"holdings": rows}
+
+
+@kinds.COMMANDS.register("blocked_sources")
+def check_blocked_sources(body: Body) -> Body:
+    """Replaces the source addresses whose connections are aborted."""
+    body = check_fields(body, {"sources": []})
+    return {"sources": frozenset(body["sources"])}
+
+
+@kinds.COMMANDS.register("reset")
+def check_reset(body: Body) -> Body:
+    """Empties the journal."""
+    return check_fields(body, {})
--- /dev/null
+++ b/src/standins/target/messages.py
@@ -0,0 +1,148 @@
+"""Requests to a target as records, and its replies as bytes."""
+
+import collections.abc
+import json
+import typing
+
+from standins import answers
+from standins import records
+from standins.target import attempts
+
+_KEY_END = 65536
+
+
+class Reply(records.Record):
+    """A reply before it is sent.
+
+    Attributes:
+      status: HTTP status.
+      headers: By name.
+      body: JSON text.
+      cut: Whether only half of the body is sent.
+    """
+
+    __slots__ = ("status", "headers", "body", "cut")
+
+    DEFAULTS: typing.ClassVar[dict[str, typing.Any]] = {"cut": False}
+
+
+def _read_whole(text: typing.Any, low: int, high: int, what: str) -> int:
+    try:
+        number = int(text)
+    except (TypeError, ValueError):
+        raise ValueError(f"{what} {text!r} must be an integer") from None
+    if not low <= number <= high:
+        raise ValueError(f"{what} {text!r} must be in [{low}, {high}]")
+    return number
+
+
+def _check_request(
+    headers: collections.abc.Mapping[str, str], body: bytes, service: str
+) -> dict[str, typing.Any]:
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        raise ValueError(f"the body is not JSON: {error}") from None
+    if not isinstance(document, dict):
+        raise ValueError("the body must be an object")
+    if not headers.get("Attempt-Id"):
+        raise ValueError("header Attempt-Id is missing")
+    urgency = headers.get("Urgency")
+    if urgency not in ("urgent", "ordinary"):
+        raise ValueError(f"Urgency {urgency!r} must be urgent or ordinary")
+    if document.get("service") != service:
+        raise ValueError(
+            f"service {document.get('service')!r} is not served here"
+        )
+    for name in ("lookup", "parameters"):
+        if not isinstance(document.get(name), str):
+            raise ValueError(f"{name} {document.get(name)!r} must be text")
+    low = _read_whole(document.get("low"), 0, _KEY_END - 1, "low")
+    return {
+        "lookup": document["lookup"],
+        "parameters": document["parameters"],
+        "low": low,
+        "high": _read_whole(document.get("high"), low + 1, _KEY_END, "high"),
+        "index_version": _read_whole(
+            headers.get("Index-Version"), 0, 2**63, "Index-Version"
+        ),
+        "map_version": _read_whole(
+            headers.get("Map-Version"), 0, 2**63, "Map-Version"
+        ),
+        "urgency": urgency,
+        "deadline_ms": _read_whole(
+            headers.get("Deadline-Ms"), -(2**31), 2**31, "Deadline-Ms"
+        ),
+    }
+
+
+def read_attempt(
+    *,
+    headers: collections.abc.Mapping[str, str],
+    body: bytes,
+    service: str,
+    received_at: float,
+    **fields: typing.Any,
+) -> attempts.Attempt:
+    """Returns the attempt of a request; invalid ones have a ``rejection``.
+
+    Args:
+      headers: Of the request.
+      body: Of the request.
+      service: Service of the target.
+      received_at: When the deadline began to run, monotonic seconds.
+      **fields: Fields that do not come from the request.
+    """
+    found = {
+        "lookup": "",
+        "parameters": "",
+        "low": 0,
+        "high": 0,
+        "index_version": 0,
+        "map_version": 0,
+        "urgency": "",
+        "deadline_ms": 0,
+    }
+    try:
+        found = _check_request(headers, body, service)
+    except ValueError as error:
+        fields["rejection"] = str(error)
+    deadline_s = found.pop("deadline_ms") / 1000.0
+    return attempts.Attempt(
+        attempt_id=headers.get("Attempt-Id", ""),
+        service=service,
+        deadline=received_at + deadline_s,
+        **found,
+        **fields,
+    )
+
+
+def encode_body(
+    outcome: attempts.Outcome,
+    holdings: collections.abc.Sequence[typing.Any],
+    stride: int,
+) -> str:
+    """Returns the JSON text of the reply to an attempt."""
+    attempt = outcome.attempt
+    held = json.dumps([list(row) for row in holdings])
+    if outcome.status == 200:
+        found = answers.encode_records(
+            attempt.kind,
+            attempt.service,
+            attempt.low,
+            attempt.high,
+            attempt.index_version,
+            attempt.map_version,
+            stride,
+        )
+        return (
+            f'{{"attempt_id": {json.dumps(attempt.attempt_id)},'
+            f' "index_version": {attempt.index_version},'
+            f' "map_version": {attempt.map_version},'
+            f' "low": {attempt.low}, "high": {attempt.high},'
+            f' "records": {found}, "holdings": {held}}}'
+        )
+    detail = ""
+    if attempt.rejection:
+        detail = f', "detail": {json.dumps(attempt.rejection)}'
+    return f'{{"error": "{outcome.error}"{detail}, "holdings": {held}}}'
--- /dev/null
+++ b/src/standins/target/server.py
@@ -0,0 +1,273 @@
+"""The HTTP side of one target: connections, arrivals and replies."""
+
+import asyncio
+import itertools
+import json
+import time
+
+from aiohttp import web
+
+from standins import boards
+from standins import connections
+from standins import controllers
+from standins import listeners
+from standins.target import attempts
+from standins.target import kinds
+from standins.target import limits
+from standins.target import messages
+from standins.target import settings as target_settings
+from standins.target import spoilers
+
+_SERIALS = itertools.count(1)
+
+
+@controllers.register(
+    kinds.CONTROLLERS,
+    "http",
+    reads=["commands", "outcomes", "life", "setup"],
+    writes=["arrivals", "cancels", "commands", "connections"],
+)
+class Http(controllers.Controller):
+    """Turns requests into records and outcomes into replies.
+
+    It is stepped last, so that a reply shows the settled state.
+    """
+
+    def start(self) -> None:
+        """Prepares an empty set of connections."""
+        self._open: set[connections.Connection] = set()
+        self._replies: dict[int, asyncio.Future] = {}
+        self._spoiler = spoilers.Spoiler()
+        self._listens: bool | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self.listener: listeners.Listener | None = None
+        self.runner: controllers.Runner | None = None
+
+    def step(self, now: float) -> None:
+        """Sends replies, follows the incarnation and aborts connections."""
+        for command in self.take("commands"):
+            if command.name == "reset":
+                self._reset_counts()
+        for outcome in self.take("outcomes"):
+            self._settle(outcome, now)
+        blocked = self.board.find("setup").get("blocked_sources")
+        for connection in list(self._open):
+            if connection.source in blocked:
+                connection.cut_off()
+        listening = self.board.find("life").get("now").listening
+        if self.listener is not None and listening != self._listens:
+            self._listens = listening
+            self._follow_life(listening)
+
+    def order(self, name: str, body: dict) -> None:
+        """Applies a checked control call."""
+        command = attempts.Command(name=name, body=body)
+        self.writer("commands").append(command)
+        self.runner.run()
+
+    def accept(self, connection: connections.Connection) -> bool:
+        """Returns False for a blocked source or a crashed target."""
+        if not self.board.find("life").get("now").listening:
+            return False
+        blocked = self.board.find("setup").get("blocked_sources")
+        self._open.add(connection)
+        return connection.source not in blocked
+
+    def count(self, connection: connections.Connection) -> bool:
+        """Counts a connection; returns False if it is above the limit."""
+        table = self.board.find("connections")
+        counted = sum(1 for each in self._open if each.counted)
+        if counted >= self.settings.connections:
+            refused = table.get("refused", 0) + 1
+            self.writer("connections").put("refused", refused)
+            return False
+        connection.counted = True
+        self.writer("connections").put("open", counted + 1)
+        peak = max(table.get("peak", 0), counted + 1)
+        self.writer("connections").put("peak", peak)
+        return True
+
+    def forget(self, connection: connections.Connection) -> None:
+        """Forgets a connection that has ended."""
+        self._open.discard(connection)
+        counted = sum(1 for each in self._open if each.counted)
+        self.writer("connections").put("open", counted)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        connection = request.protocol
+        connection.served += 1
+        try:
+            reply = await self._answer(request, connection)
+        except ConnectionError:
+            connection.cut_off()
+            return web.Response()
+        if reply.cut:
+            body = reply.body.encode()
+            connection.end_with(
+                connections.encode_part(reply.status, reply.headers, body, 0.5)
+            )
+        return web.Response(
+            status=reply.status,
+            headers=reply.headers,
+            text=reply.body or None,
+            content_type="application/json",
+        )
+
+    async def _answer(
+        self, request: web.BaseRequest, connection: connections.Connection
+    ) -> messages.Reply:
+        kind, argument = find_route(request.method, request.path)
+        route = kinds.ROUTES.find(kind)
+        body = await request.read()
+        if kind == "control":
+            return await route(self, request, argument, body)
+        one_way_s = limits.find_latency_s(
+            self.settings.latency, connection.source
+        )
+        await self._travel(connection, one_way_s)
+        reply = await route(self, request, argument, body)
+        await self._travel(connection, one_way_s)
+        return reply
+
+    async def _travel(
+        self, connection: connections.Connection, one_way_s: float
+    ) -> None:
+        if one_way_s:
+            await asyncio.sleep(one_way_s)
+        if connection.cut:
+            raise ConnectionResetError("the connection was cut off")
+
+    async def attempt(
+        self, request: web.BaseRequest, kind: str, body: bytes
+    ) -> messages.Reply:
+        """Runs a read or write and returns its reply."""
+        connection = request.protocol
+        received_at = time.monotonic()
+        ready_at = connection.opened_at + self.settings.connect_ms / 1000.0
+        if connection.served == 1 and ready_at > received_at:
+            await self._travel(connection, ready_at - received_at)
+        attempt = messages.read_attempt(
+            headers=request.headers,
+            body=body,
+            service=self.settings.service,
+            received_at=received_at,
+            serial=next(_SERIALS),
+            kind=kind,
+            source=connection.source,
+            arrived_at=time.monotonic(),
+            arrived_unix=time.time(),
+        )
+        future = asyncio.get_running_loop().create_future()
+        self._replies[attempt.serial] = future
+        self.writer("arrivals").append(attempt)
+        self.runner.run()
+        return await future
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Cancels an attempt; returns False if it is unknown."""
+        known = self.board.find("waiting").list_records()
+        known += self.board.find("running").list_records()
+        if all(each.attempt_id != attempt_id for each in known):
+            return False
+        self.writer("cancels").append(attempt_id)
+        self.runner.run()
+        return True
+
+    def describe(self, now: float) -> dict[str, str]:
+        """Returns the headers that describe the target."""
+        life = self.board.find("life").get("now")
+        warmth = self.board.find("warmth").get("now")
+        busy = len(self.board.find("waiting"))
+        busy += len(self.board.find("running"))
+        return {
+            "Target-Epoch": life.epoch,
+            "Target-State": limits.describe_state(warmth, life),
+            "Target-Load": f"{busy / self.settings.slots:.3f}",
+        }
+
+    def _settle(self, outcome: attempts.Outcome, now: float) -> None:
+        future = self._replies.pop(outcome.attempt.serial, None)
+        if future is None or future.done():
+            return
+        if outcome.status == 0:
+            future.set_exception(ConnectionResetError("the target crashed"))
+            return
+        headers = {
+            "Attempt-Id": outcome.attempt.attempt_id,
+            **self.describe(now),
+            "Run": outcome.run,
+        }
+        if outcome.error == "shed":
+            headers["Retry-After-Ms"] = str(self.settings.retry_after_ms)
+        setup = self.board.find("setup")
+        reply = messages.Reply(
+            status=outcome.status,
+            headers=headers,
+            body=messages.encode_body(
+                outcome, setup.get("holdings"), self.settings.record_stride
+            ),
+        )
+        future.set_result(self._spoiler.spoil(reply, setup.get("faults")))
+
+    def _follow_life(self, listening: bool) -> None:
+        if not listening:
+            self.listener.refuse()
+            for connection in list(self._open):
+                if not connection.control:
+                    connection.cut_off()
+            return
+        task = asyncio.get_running_loop().create_task(self.listener.listen())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _reset_counts(self) -> None:
+        opened = self.board.find("connections").get("open", 0)
+        self.writer("connections").put("peak", opened)
+        self.writer("connections").put("refused", 0)
+
+    async def open_listener(self) -> str:
+        """Listens; returns address:port."""
+        self.listener = listeners.Listener(
+            address=self.settings.address, owner=self, handler=self.handle
+        )
+        self._listens = True
+        await self.listener.listen()
+        return self.listener.address
+
+    def close_listener(self) -> None:
+        """Stops listening and aborts all connections."""
+        self.listener.close()
+        for connection in list(self._open):
+            connection.cut_off()
+
+
+def find_route(method: str, path: str) -> tuple[str, str]:
+    """Returns (kind of route, argument) of a request."""
+    if path.startswith("/control/"):
+        return "control", path.removeprefix("/control/")
+    if path.startswith("/v1/attempts/") and method == "DELETE":
+        return "cancel", path.removeprefix("/v1/attempts/")
+    kinds_by_path = {
+        ("POST", "/v1/read"): ("attempt", "read"),
+        ("POST", "/v1/write"): ("attempt", "write"),
+        ("GET", "/v1/health"): ("health", ""),
+    }
+    return kinds_by_path.get((method, path), ("unknown", path))
+
+
+def build_target(settings: target_settings.TargetSettings) -> Http:
+    """Returns the HTTP side of a new target with its board and runner."""
+    board = boards.Board(sections=attempts.SECTIONS)
+    members = [
+        controller_class(board=board, settings=settings)
+        for _, controller_class in kinds.CONTROLLERS.list_items()
+    ]
+    http = members[-1]
+    http.runner = controllers.Runner(members=members)
+    return http
+
+
+def encode_json(document: object, status: int = 200) -> messages.Reply:
+    """Returns a reply with a JSON body."""
+    return messages.Reply(status=status, headers={}, body=json.dumps(document))
