Reject parts other than asked as unknown outcomes

Change: such a part becomes bad_reply with MAY_HAVE_RUN; a budget starts with its reserve. Conclusion: a wrong part costs one retry and never a false verdict.

--- a/src/bramleyfork/configuration/settings.py
+++ b/src/bramleyfork/configuration/settings.py
@@ -155,9 +155,7 @@
         self.target_threads = target_threads
         self.log_level = log_level
         self.cut_file = cut_file
-<<<<<<< HEAD
         self.ticket_key = ticket_key or secrets.token_bytes(16)
-=======
 
 
 def load_settings(
@@ -209,4 +207,3 @@
         return expression.Error(tuple(problems))
     incarnation = time.time_ns() // 1_000_000
     return expression.Ok(Settings(incarnation=incarnation, **values))
->>>>>>> configuration
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -312,6 +312,10 @@
         if not attempt or attempt.target != reply.target:
             self.counters["late_replies"] += 1
             return
+        if reply.code == "ok" and not answers.is_valid_part(
+            reply, snapshot=route.snapshot, key_range=segment.plan.key_range
+        ):
+            reply = answers.reject_part(reply)
         attempt.open = False
         attempt.verdict = reply.verdict
         self._view.note_end(reply.target)
@@ -323,9 +327,7 @@
             )
         if segment.settled:
             return
-        if reply.code == "ok" and answers.is_valid_part(
-            reply, snapshot=route.snapshot, key_range=segment.plan.key_range
-        ):
+        if reply.code == "ok":
             self._take_part(route, segment, reply, now)
         else:
             self._take_failure(route, segment, reply, now)
--- a/src/bramleyfork/decisions/answers.py
+++ b/src/bramleyfork/decisions/answers.py
@@ -27,6 +27,20 @@
     return len(set(keys)) == len(keys) and all(low <= k < high for k in keys)
 
 
+def reject_part(reply: replies.SubReply) -> replies.SubReply:
+    """Returns an invalid part as a failure without records.
+
+    That the target answered something does not show that it ran what was
+    asked.
+    """
+    return reply.replace(
+        code="bad_reply",
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        answers=(),
+        detail="snapshot, range or keys differ from what was asked",
+    )
+
+
 def build_answer(
     *,
     query_id: str,
--- a/src/bramleyfork/decisions/budgets.py
+++ b/src/bramleyfork/decisions/budgets.py
@@ -15,15 +15,15 @@
     def __init__(self, *, ratio: float, reserve: float):
         self.ratio = ratio
         self.reserve = reserve
-        self.tokens = reserve if ratio > 0 else 0.0
+        self.tokens = reserve
 
     def earn(self, count: int = 1) -> None:
         """Adds the tokens of ``count`` sub-requests."""
         self.tokens = min(self.reserve, self.tokens + self.ratio * count)
 
     def spend(self) -> bool:
-        """Takes one token; returns False when there is none."""
-        if self.tokens < 1.0:
+        """Takes one token; returns False when there is none or no ratio."""
+        if self.ratio <= 0 or self.tokens < 1.0:
             return False
         self.tokens -= 1.0
         return True
