Add the platform stand-in

Cause: the product's configuration and list of targets come from the platform, which tests must be able to stop, delay and make stale. Change: standins.platform serves values, watches and the list of targets, keeps published sets, and has outage modes per source. The order in which controllers are stepped is stated in one place instead of following from the order of imports. Before: only targets. Neither has tests of its own yet.

--- a/src/standins/listeners.py
+++ b/src/standins/listeners.py
@@ -3,16 +3,38 @@
 import asyncio
 import collections.abc
 import socket
+import typing
 
 from aiohttp import web
 
 from standins import connections
 
+# A published set of values travels in one body.
+_BODY_LIMIT = 256 * 1024 * 1024
+
 Handler = collections.abc.Callable[
     [web.BaseRequest], collections.abc.Awaitable[web.StreamResponse]
 ]
 
 
+def _make_request(
+    message: typing.Any,
+    payload: typing.Any,
+    protocol: typing.Any,
+    writer: typing.Any,
+    task: typing.Any,
+) -> web.BaseRequest:
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=_BODY_LIMIT,
+    )
+
+
 class Listener:
     """Accepts connections on one address.
 
@@ -28,7 +50,7 @@
         self, *, address: str, owner: connections.Owner, handler: Handler
     ):
         self._owner = owner
-        self._manager = web.Server(handler)
+        self._manager = web.Server(handler, request_factory=_make_request)
         host, _, port = address.rpartition(":")
         # This socket never listens. It keeps the port from being given to
         # another process while the listener is stopped.
--- /dev/null
+++ b/src/standins/platform/commands.py
@@ -0,0 +1,73 @@
+"""Control calls of the platform: checks of their bodies.
+
+Each function takes the body and the board, and returns the checked body or
+raises ValueError.
+"""
+
+import typing
+
+from standins import boards
+from standins.platform import kinds
+from standins.platform import values
+
+Body = dict[str, typing.Any]
+
+
+def check_fields(body: Body, defaults: Body) -> Body:
+    """Returns the body completed with defaults; unknown fields are refused."""
+    unknown = sorted(set(body) - set(defaults))
+    if unknown:
+        raise ValueError(
+            f"unknown field {unknown[0]!r}; valid fields: {sorted(defaults)}"
+        )
+    return {**defaults, **body}
+
+
+@kinds.COMMANDS.register("publish")
+def check_publish(body: Body, board: boards.Board) -> Body:
+    """Replaces the whole set of values; ``keep`` adds to the newest set."""
+    body = check_fields(body, {"values": {}, "keep": False})
+    found = {}
+    for key, text in body["values"].items():
+        if not isinstance(text, str):
+            raise ValueError(f"value {key!r} must be text, not {text!r}")
+        found[key] = values.make_value(key, text.encode())
+    return {"values": found, "keep": body["keep"]}
+
+
+@kinds.COMMANDS.register("stale")
+def check_stale(body: Body, board: boards.Board) -> Body:
+    """Serves the set published ``manifest_age`` publications ago."""
+    body = check_fields(body, {"manifest_age": 0})
+    oldest = len(board.find("sets")) - 1
+    age = body["manifest_age"]
+    if type(age) is not int or not 0 <= age <= oldest:
+        raise ValueError(f"manifest_age {age!r} must be in [0, {oldest}]")
+    return body
+
+
+@kinds.COMMANDS.register("outage")
+def check_outage(body: Body, board: boards.Board) -> Body:
+    """Sets the mode of some sources, or of all others and forgets those."""
+    body = check_fields(body, {"mode": "none", "sources": None})
+    try:
+        kinds.OUTAGES.find(body["mode"])
+    except LookupError as error:
+        raise ValueError(str(error)) from None
+    return body
+
+
+@kinds.COMMANDS.register("listing")
+def check_listing(body: Body, board: boards.Board) -> Body:
+    """Replaces the rows of /v1/targets after ``lag_s`` seconds."""
+    body = check_fields(body, {"targets": [], "lag_s": 0.0})
+    for row in body["targets"]:
+        if set(row) != {"name", "state", "holdings"}:
+            raise ValueError(f"row {row!r} needs name, state and holdings")
+    return body
+
+
+@kinds.COMMANDS.register("reset")
+def check_reset(body: Body, board: boards.Board) -> Body:
+    """Empties the counts of calls."""
+    return check_fields(body, {})
--- /dev/null
+++ b/src/standins/platform/server.py
@@ -0,0 +1,208 @@
+"""The HTTP side of the platform: reads, watches and control calls."""
+
+import asyncio
+import json
+import time
+import typing
+
+from aiohttp import web
+
+from standins import connections
+from standins import controllers
+from standins import listeners
+from standins import records
+from standins import registries
+from standins.platform import kinds
+from standins.platform import publication
+from standins.platform import values
+
+_LONGEST_WAIT_MS = 120_000
+_DEFAULT_WAIT_MS = 30_000
+
+
+class Reply(records.Record):
+    """A reply before it is sent.
+
+    Attributes:
+      status: HTTP status.
+      headers: By name.
+      body: Its bytes.
+      cut: Whether only half of the body is sent.
+    """
+
+    __slots__ = ("status", "headers", "body", "cut")
+
+    DEFAULTS: typing.ClassVar[dict[str, typing.Any]] = {
+        "headers": {},
+        "body": b"",
+        "cut": False,
+    }
+
+
+def encode_json(document: object, status: int = 200) -> Reply:
+    """Returns a reply with a JSON body."""
+    return Reply(
+        status=status,
+        headers={"Content-Type": "application/json"},
+        body=json.dumps(document).encode(),
+    )
+
+
+def encode_value(value: values.Value | None) -> Reply:
+    """Returns the reply to a read of a value."""
+    if value is None:
+        return encode_json({"error": "absent"}, 404)
+    headers = {
+        "ETag": f'"{value.etag}"',
+        "Content-Type": "application/octet-stream",
+    }
+    return Reply(status=200, headers=headers, body=value.body)
+
+
+def name_kind(path: str) -> str:
+    """Returns the kind of a reader's call."""
+    for kind in ("values", "watch"):
+        if path.startswith(f"/v1/{kind}/"):
+            return kind
+    return "targets" if path == "/v1/targets" else "other"
+
+
+@controllers.register(
+    kinds.CONTROLLERS,
+    "http",
+    reads=["values", "outages"],
+    writes=["commands", "requests"],
+)
+class Http(controllers.Controller):
+    """Turns requests into records and values into replies."""
+
+    def start(self) -> None:
+        """Prepares an empty set of connections and waiting calls."""
+        self._open: set[connections.Connection] = set()
+        self._waiting: set[asyncio.Future] = set()
+        self.listener: listeners.Listener | None = None
+        self.runner: controllers.Runner | None = None
+
+    def step(self, now: float) -> None:
+        """Wakes all waiting calls."""
+        for future in self._waiting:
+            if not future.done():
+                future.set_result(None)
+
+    async def wait_for_change(self, timeout_s: float | None) -> None:
+        """Waits for a change of values or outages, at most ``timeout_s``."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.add(future)
+        try:
+            await asyncio.wait([future], timeout=timeout_s)
+        finally:
+            self._waiting.discard(future)
+
+    def find_mode(self, source: str) -> str:
+        """Returns the outage mode of a source address."""
+        table = self.board.find("outages")
+        return table.get(source, table.get(kinds.EVERYONE, "none"))
+
+    def accept(self, connection: connections.Connection) -> bool:
+        """Takes every connection; outages act on requests."""
+        self._open.add(connection)
+        return True
+
+    def count(self, connection: connections.Connection) -> bool:
+        """Sets no limit."""
+        return True
+
+    def forget(self, connection: connections.Connection) -> None:
+        """Forgets a connection that has ended."""
+        self._open.discard(connection)
+
+    def list_open(self) -> list[connections.Connection]:
+        """Returns the open connections."""
+        return list(self._open)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        connection = request.protocol
+        try:
+            reply = await self._answer(request, connection.source)
+        except ConnectionError:
+            connection.cut_off()
+            return web.Response()
+        if reply.cut and reply.body:
+            connection.end_with(
+                connections.encode_part(
+                    reply.status, reply.headers, reply.body, 0.5
+                )
+            )
+        elif reply.cut:
+            connection.cut_off()
+        return web.Response(
+            status=reply.status, headers=reply.headers, body=reply.body
+        )
+
+    async def _answer(self, request: web.BaseRequest, source: str) -> Reply:
+        if request.path.startswith("/control/"):
+            name = request.path.removeprefix("/control/")
+            return self._control(request.method, name, await request.read())
+        call = values.Call(
+            source=source,
+            kind=name_kind(request.path),
+            second=int(time.time()),
+        )
+        self.writer("requests").append(call)
+        self.runner.run()
+        return await self.serve(request, source)
+
+    async def serve(self, request: web.BaseRequest, source: str) -> Reply:
+        """Answers a reader's call in the outage mode of its source."""
+        answer = kinds.OUTAGES.find(self.find_mode(source))
+        return await answer(self, request, source)
+
+    async def read(self, request: web.BaseRequest, source: str) -> Reply:
+        """Answers a reader's call as without an outage."""
+        if self.settings.answer_ms:
+            await asyncio.sleep(self.settings.answer_ms / 1000.0)
+        if request.method != "GET":
+            return encode_json({"error": "method_not_allowed"}, 405)
+        route = kinds.ROUTES.find(name_kind(request.path))
+        return await route(self, request, source)
+
+    async def watch(
+        self, request: web.BaseRequest, source: str, key: str
+    ) -> Reply:
+        """Waits until the ETag of a value differs from ``after``."""
+        after = request.query.get("after", "").removeprefix("W/").strip('"')
+        try:
+            wait_ms = int(request.query.get("wait_ms", _DEFAULT_WAIT_MS))
+        except ValueError:
+            return encode_json({"error": "wait_ms must be an integer"}, 400)
+        wait_s = min(max(wait_ms, 0), _LONGEST_WAIT_MS) / 1000.0
+        # Kept with the request because an outage restarts the watch.
+        until = request.setdefault("until", time.monotonic() + wait_s)
+        mode = self.find_mode(source)
+        while True:
+            value = self.board.find("values").get(key)
+            if value is not None and value.etag != after:
+                return encode_value(value)
+            remaining_s = until - time.monotonic()
+            if remaining_s <= 0:
+                headers = {"ETag": f'"{value.etag}"'} if value else {}
+                return Reply(status=304, headers=headers)
+            await self.wait_for_change(remaining_s)
+            if self.find_mode(source) != mode:
+                return await self.serve(request, source)
+
+    def _control(self, method: str, name: str, body: bytes) -> Reply:
+        if method == "GET" and name == "calls":
+            return encode_json(publication.describe_calls(self.board))
+        if method != "POST":
+            return encode_json({"error": f"{method} {name!r}"}, 405)
+        try:
+            check = kinds.COMMANDS.find(name)
+            checked = check(json.loads(body or b"{}"), self.board)
+        except (registries.UnknownNameError, ValueError) as error:
+            return encode_json({"error": str(error)}, 400)
+        command = values.Command(name=name, body=checked)
+        self.writer("commands").append(command)
+        self.runner.run()
+        return encode_json({"sets": len(self.board.find("sets"))})
--- /dev/null
+++ b/src/standins/platform/values.py
@@ -0,0 +1,109 @@
+"""Records of the platform, its settings and its sections."""
+
+import hashlib
+import pathlib
+import typing
+
+from standins import records
+from standins.platform import kinds
+
+SECTIONS = (
+    ("commands", "log", "http"),
+    ("requests", "log", "http"),
+    ("sets", "table", "publication"),
+    ("values", "table", "publication"),
+    ("outages", "table", "outages"),
+    ("listing", "table", "listing"),
+    ("calls", "table", "calls"),
+)
+
+
+class PlatformSettings(records.Record):
+    """Settings of the platform.
+
+    Attributes:
+      address: address:port; port 0 takes a free one.
+      folder: Its files are the first values; keys are relative paths.
+      targets: First rows of /v1/targets.
+      answer_ms: Time before each answer.
+      history: Published sets kept for stale answers.
+    """
+
+    __slots__ = ("address", "folder", "targets", "answer_ms", "history")
+
+    DEFAULTS: typing.ClassVar[dict[str, typing.Any]] = {
+        "address": "127.0.0.1:0",
+        "folder": "",
+        "targets": [],
+        "answer_ms": 0.0,
+        "history": 100,
+    }
+
+
+class Value(records.Record):
+    """One value.
+
+    Attributes:
+      key: Its key.
+      body: Its bytes.
+      etag: Digest of the bytes.
+    """
+
+    __slots__ = ("key", "body", "etag")
+
+
+class Command(records.Record):
+    """A control call.
+
+    Attributes:
+      name: Name of the call.
+      body: Its checked JSON body.
+    """
+
+    __slots__ = ("name", "body")
+
+
+class Call(records.Record):
+    """A call of a reader.
+
+    Attributes:
+      source: Source address.
+      kind: "values", "watch", "targets" or "other".
+      second: Unix time, whole seconds.
+    """
+
+    __slots__ = ("source", "kind", "second")
+
+
+def make_value(key: str, body: bytes) -> Value:
+    """Returns a value with its ETag.
+
+    Raises:
+      ValueError: The value is too large.
+    """
+    if len(body) > kinds.SIZE_LIMIT:
+        raise ValueError(
+            f"value {key!r} has {len(body)} bytes; the limit is"
+            f" {kinds.SIZE_LIMIT}"
+        )
+    return Value(key=key, body=body, etag=hashlib.sha256(body).hexdigest())
+
+
+def read_folder(folder: str) -> dict[str, Value]:
+    """Returns the values of all files in a folder; none for ""."""
+    if not folder:
+        return {}
+    root = pathlib.Path(folder)
+    if not root.is_dir():
+        raise ValueError(f"folder {folder!r} does not exist")
+    paths = sorted(path for path in root.rglob("*") if path.is_file())
+    keys = [path.relative_to(root).as_posix() for path in paths]
+    return {
+        key: make_value(key, path.read_bytes())
+        for key, path in zip(keys, paths, strict=True)
+    }
+
+
+def order_keys(keys: typing.Iterable[str]) -> list[str]:
+    """Returns the keys in order of publication: the manifest last."""
+    return sorted(keys, key=lambda key: (key == kinds.MANIFEST, key))
--- a/src/standins/target/server.py
+++ b/src/standins/target/server.py
@@ -1,6 +1,7 @@
 """The HTTP side of one target: connections, arrivals and replies."""
 
 import asyncio
+import collections.abc
 import itertools
 import json
 import time
@@ -256,15 +257,18 @@
     return kinds_by_path.get((method, path), ("unknown", path))
 
 
-def build_target(settings: target_settings.TargetSettings) -> Http:
+def build_target(
+    settings: target_settings.TargetSettings,
+    read_clock: collections.abc.Callable[[], float] = time.monotonic,
+) -> Http:
     """Returns the HTTP side of a new target with its board and runner."""
     board = boards.Board(sections=attempts.SECTIONS)
     members = [
-        controller_class(board=board, settings=settings)
-        for _, controller_class in kinds.CONTROLLERS.list_items()
+        kinds.CONTROLLERS.find(name)(board=board, settings=settings)
+        for name in kinds.STEP_ORDER
     ]
     http = members[-1]
-    http.runner = controllers.Runner(members=members)
+    http.runner = controllers.Runner(members=members, read_clock=read_clock)
     return http
 
 
