--- a/src/standins/target/settings.py
+++ b/src/standins/target/settings.py
@@ -71,6 +71,36 @@
     }
 
 
+# Smallest value of each number; those that are whole have a whole limit.
+_LEAST = {
+    "slots": 1,
+    "queue": 0,
+    "connections": 0,
+    "connect_ms": 0.0,
+    "service_ms": 0.0,
+    "jitter": 0.0,
+    "cold_in_flight": 1,
+    "cold_rate": 0.0,
+    "cold_period_s": 0.0,
+    "cold_service_factor": 0.0,
+    "record_stride": 1,
+    "retry_after_ms": 0,
+    "journal_limit": 0,
+}
+
+
+def _check_numbers(settings: TargetSettings) -> None:
+    for name, least in _LEAST.items():
+        value = getattr(settings, name)
+        kinds = (int,) if type(least) is int else (int, float)
+        if type(value) not in kinds or value < least:
+            raise SettingsError(
+                f"target {settings.name!r}: {name} is {value!r}; it must be"
+                f" {'a whole number' if kinds == (int,) else 'a number'}"
+                f" of at least {least}"
+            )
+
+
 def check_holdings(value: typing.Any) -> tuple[Holding, ...]:
     """Returns checked holdings.
 
@@ -117,6 +147,7 @@
         except TypeError as error:
             raise SettingsError(f"target {row!r}: {error}") from None
         parse_address(settings.address)
+        _check_numbers(settings)
         holdings = check_holdings(list(settings.holdings))
         found.append(settings.replace(holdings=holdings))
     names = [settings.name for settings in found]
