Add lifecycle and targets controllers with their decisions

Cause: nothing kept the phase of the process or the state of targets, so a host could not drain and a leaving target got new work. Change: pure decisions on draining (placement lifetime plus longest deadline, then nothing in flight) and on targets (list, own word, peers' notices), and two thin controllers. Before: no such sections written. Conclusion: routing and ownership can read the targets table.

--- /dev/null
+++ b/src/bramleyfork/controllers/lifecycle.py
@@ -0,0 +1,65 @@
+"""Keeps the phase of the process, from its start to its end."""
+
+import logging
+
+from bramleyfork.core import controllers
+from bramleyfork.core import fleet
+from bramleyfork.decisions import drain
+
+_LOG = logging.getLogger(__name__)
+
+# Routes and owned work are only peeked at, so a drained host looks again.
+_DRAIN_CHECK_S = 0.05
+
+
+@controllers.register(
+    "lifecycle",
+    reads=("signals", "declaration"),
+    peeks=("routes", "owned"),
+    writes=("lifecycle",),
+)
+class LifecycleController(controllers.Controller):
+    """Writes fleet.Lifecycle under the key "current"."""
+
+    __slots__ = ()
+
+    def step(self, now: float) -> float | None:
+        """Moves to the next phase when its condition holds."""
+        current = self.table("lifecycle").get("current")
+        if current is None:
+            current = self._enter("starting", now, "no configuration yet")
+        signals = [s for s in self.take("signals") if s.kind == "terminate"]
+        if signals and current.phase in ("starting", "serving"):
+            current = self._enter("leaving", now, "asked to terminate")
+        entry = self.table("declaration").get("in_force")
+        if current.phase == "starting" and entry is not None:
+            current = self._enter("serving", now, "a configuration is in force")
+        if current.phase == "leaving":
+            return self._drain(now, current.since)
+        return None
+
+    def _drain(self, now: float, since: float) -> float | None:
+        lifetime_s, longest_s = self._find_spans()
+        in_flight = drain.count_in_flight(
+            self.table("routes").list_records(),
+            self.table("owned").list_records(),
+        )
+        if drain.may_close(now, since, lifetime_s, longest_s, in_flight):
+            self._enter("stopped", now, f"drained, {in_flight} in flight")
+            return None
+        earliest = drain.find_earliest_close(since, lifetime_s, longest_s)
+        return earliest if now < earliest else now + _DRAIN_CHECK_S
+
+    def _find_spans(self) -> tuple[float, float]:
+        """Returns the placement lifetime and the longest deadline, seconds."""
+        entry = self.table("declaration").get("in_force")
+        if entry is None:
+            return 0.0, 0.0
+        declaration = entry.declaration
+        return declaration.placement_lifetime_s, declaration.longest_deadline_s
+
+    def _enter(self, phase: str, now: float, reason: str) -> fleet.Lifecycle:
+        record = fleet.Lifecycle(phase=phase, since=now, reason=reason)
+        self.writer("lifecycle").put("current", record)
+        _LOG.info("phase %s", phase, extra={"phase": phase, "reason": reason})
+        return record
--- /dev/null
+++ b/src/bramleyfork/controllers/targets.py
@@ -0,0 +1,181 @@
+"""Keeps what this host believes of each target."""
+
+import collections.abc
+import logging
+
+from bramleyfork.core import controllers
+from bramleyfork.core import declarations
+from bramleyfork.core import fleet
+from bramleyfork.core import logs
+from bramleyfork.core import messages
+from bramleyfork.decisions import targets
+
+_DECISIONS = logging.getLogger(logs.DECISIONS)
+
+
+@controllers.register(
+    "targets",
+    reads=(
+        "declaration",
+        "listing",
+        "sightings",
+        "owned_sightings",
+        "peer_control",
+    ),
+    writes=("targets", "targets_out"),
+)
+class Targets(controllers.Controller):
+    """Writes fleet.TargetStatus by target and notices to peers."""
+
+    __slots__ = (
+        "_evidence",
+        "_out",
+        "_entry",
+        "_listing",
+        "_listing_version",
+        "_word_ends",
+    )
+
+    def start(self) -> None:
+        """Begins without knowledge."""
+        self._evidence: dict[str, targets.Evidence] = {}
+        self._out: dict[str, str] = {}  # Why a target is out, by name.
+        self._entry: declarations.DeclarationEntry | None = None
+        self._listing: dict[str, fleet.Listed] = {}
+        self._listing_version = -1
+        self._word_ends: dict[str, float] = {}
+
+    def step(self, now: float) -> float | None:
+        """Takes in what is new and decides again for what it touches."""
+        entry = self.table("declaration").get("in_force")
+        if entry is None:
+            # The logs are taken so that they do not grow.
+            for section in ("owned_sightings", "sightings", "peer_control"):
+                self.take(section)
+            return None
+        touched = self._note_declaration(entry)
+        touched |= self._note_listing(now)
+        touched |= self._note_sightings()
+        touched |= self._note_notices()
+        touched |= {n for n, ends in self._word_ends.items() if ends <= now}
+        for name in touched:
+            if name in self._evidence:
+                self._decide(name, now)
+        return min(self._word_ends.values(), default=None)
+
+    def _note_declaration(
+        self, entry: declarations.DeclarationEntry
+    ) -> set[str]:
+        """Returns new targets and those that go out or come back."""
+        if entry is self._entry:
+            return set()
+        self._entry = entry
+        declared = entry.declaration.targets
+        removed = self._evidence.keys() - declared.keys()
+        for name in removed:
+            del self._evidence[name]
+            self._word_ends.pop(name, None)
+            self.writer("targets").remove(name)
+        added = declared.keys() - self._evidence.keys()
+        for name in added:
+            self._evidence[name] = targets.NOTHING
+        if added:
+            self._listing, self._listing_version = {}, -1
+        out = find_out(entry.declaration)
+        changed = {
+            name
+            for name in out.keys() | self._out.keys()
+            if out.get(name) != self._out.get(name)
+        }
+        self._out = out
+        return added | changed
+
+    def _note_listing(self, now: float) -> set[str]:
+        table = self.table("listing")
+        if table.version == self._listing_version:
+            return set()
+        self._listing_version = table.version
+        before, self._listing = self._listing, table.copy_records()
+        touched = {
+            name
+            for name, row in self._listing.items()
+            if before.get(name) is not row
+        } | (before.keys() - self._listing.keys())
+        for name in touched & self._evidence.keys():
+            self._evidence[name] = targets.note_listing(
+                self._evidence[name], self._listing.get(name), now
+            )
+        return touched
+
+    def _note_sightings(self) -> set[str]:
+        touched = set()
+        for sighting in self._list_known(self.take("owned_sightings")):
+            evidence, notice = targets.announce_sighting(
+                self._evidence[sighting.target], sighting
+            )
+            self._evidence[sighting.target] = targets.note_sighting(
+                evidence, sighting
+            )
+            touched.add(sighting.target)
+            if notice is not None:
+                self.writer("targets_out").append(notice)
+        for sighting in self._list_known(self.take("sightings")):
+            self._evidence[sighting.target] = targets.note_sighting(
+                self._evidence[sighting.target], sighting
+            )
+            touched.add(sighting.target)
+        return touched
+
+    def _list_known(
+        self, sightings: collections.abc.Iterable[fleet.Sighting]
+    ) -> list[fleet.Sighting]:
+        return [s for s in sightings if s.target in self._evidence]
+
+    def _note_notices(self) -> set[str]:
+        touched = set()
+        for received in self.take("peer_control"):
+            notice = received.message
+            if not isinstance(notice, messages.TargetNotice):
+                continue
+            if notice.target not in self._evidence:
+                continue
+            self._evidence[notice.target] = targets.note_notice(
+                self._evidence[notice.target],
+                notice,
+                received.sender,
+                received.received_at,
+            )
+            touched.add(notice.target)
+        return touched
+
+    def _decide(self, name: str, now: float) -> None:
+        evidence = self._evidence[name]
+        if targets.is_word_of_leaving(evidence, now):
+            self._word_ends[name] = evidence.word_at + targets.WORD_LIFETIME_S
+        else:
+            self._word_ends.pop(name, None)
+        status = targets.decide_status(
+            name, self._out.get(name, ""), evidence, now
+        )
+        old = self.table("targets").get(name)
+        if targets.is_same_status(old, status):
+            return
+        self.writer("targets").put(name, status)
+        if old is None or old.state != status.state:
+            _DECISIONS.info(
+                "target %s",
+                status.state,
+                extra={"target": name, "reason": status.reason},
+            )
+
+
+def find_out(declaration: declarations.Declaration) -> dict[str, str]:
+    """Returns why targets are out, by name of the targets that are."""
+    centres = {c.name for c in declaration.data_centres.values() if c.out}
+    out = {}
+    for target in declaration.targets.values():
+        if target.out:
+            out[target.name] = "the target is out"
+        elif target.data_centre in centres:
+            out[target.name] = f"data centre {target.data_centre!r} is out"
+    return out
--- a/tests/boards.py
+++ b/tests/boards.py
@@ -65,7 +65,7 @@
             service="booking-01",
             data_centre=name,
             address=f"127.0.9.{row}:9000",
-            out=name in changes.get("targets_out", ()),
+            out=f"{name}-t" in changes.get("targets_out", ()),
         )
         for row, name in enumerate(names, start=1)
     ]
--- /dev/null
+++ b/tests/controllers/test_controllers_targets.py
@@ -0,0 +1,101 @@
+import pytest
+from tests import boards
+
+from bramleyfork.controllers import targets
+from bramleyfork.core import fleet
+from bramleyfork.core import messages
+from bramleyfork.core import requests
+from bramleyfork.decisions import targets as decisions
+
+
+def create_controller():
+    fed = boards.Board()
+    controller = targets.Targets(
+        board=fed.board, settings=boards.create_settings()
+    )
+    fed.put("declaration", "in_force", boards.create_entry())
+    controller.step(1000.0)
+    return fed, controller
+
+
+def create_sighting(state, epoch, at, target="bilbao-t", load=0.0):
+    report = requests.TargetReport(
+        epoch=epoch, state=state, load=load, holdings=()
+    )
+    return fleet.Sighting(target=target, report=report, seen_at=at)
+
+
+def get_state(fed, target="bilbao-t"):
+    return fed.get("targets", target).state
+
+
+@pytest.mark.parametrize(
+    "changes", [{"out": ("bilbao",)}, {"targets_out": ("bilbao-t",)}]
+)
+def test_target_goes_out_and_comes_back(changes):
+    # Guards H4.
+    fed, controller = create_controller()
+    fed.put("declaration", "in_force", boards.create_entry(**changes))
+    controller.step(1001.0)
+    assert get_state(fed) == "out"
+    assert get_state(fed, "zaragoza-t") == "usable"
+    fed.put("declaration", "in_force", boards.create_entry())
+    controller.step(1002.0)
+    assert get_state(fed) == "usable"
+
+
+def test_list_own_word_and_peers_say_leaving():
+    # Guards H8.
+    fed, controller = create_controller()
+    listed = fleet.Listed(target="oviedo-t", state="leaving", holdings=())
+    fed.put("listing", "oviedo-t", listed)
+    fed.append("sightings", create_sighting("leaving", "a", 1001.0))
+    notice = messages.TargetNotice(
+        to="*", target="lisboa-t", state="leaving", epoch="x"
+    )
+    received = messages.Received(
+        sender="h-2", received_at=1001.0, message=notice
+    )
+    fed.append("peer_control", received)
+    due = controller.step(1001.0)
+    for target in ("oviedo-t", "bilbao-t", "lisboa-t"):
+        assert get_state(fed, target) == "leaving"
+    assert due == 1001.0 + decisions.WORD_LIFETIME_S
+    assert controller.step(due) is None
+    assert get_state(fed) == "usable"
+    fed.remove("listing", "oviedo-t")
+    controller.step(due)
+    assert get_state(fed, "oviedo-t") == "usable"
+
+
+def test_owner_tells_peers_even_if_its_router_heard_first():
+    fed, controller = create_controller()
+    sent = fed.board.find_log("targets_out").open_cursor()
+    for section in ("sightings", "owned_sightings"):
+        fed.append(section, create_sighting("leaving", "a", 1001.0))
+        controller.step(1001.0)
+    assert [(n.to, n.state, n.epoch) for n in sent.take()] == [
+        (messages.EVERY_PEER, "leaving", "a")
+    ]
+
+
+def test_entry_is_written_only_on_change():
+    # Guards against waking routing for each reply of a target.
+    fed, controller = create_controller()
+    fed.append("sightings", create_sighting("warm", "a", 1001.0))
+    controller.step(1001.0)
+    version = fed.board.find_table("targets").version
+    fed.append("sightings", create_sighting("warm", "a", 1002.0))
+    controller.step(1002.0)
+    assert fed.board.find_table("targets").version == version
+
+
+def test_unknown_target_is_ignored_and_removed_target_forgotten():
+    fed, controller = create_controller()
+    fed.append("sightings", create_sighting("warm", "a", 1001.0, "unknown"))
+    entry = boards.create_entry()
+    entry.declaration.targets.pop("bilbao-t")
+    fed.put("declaration", "in_force", entry)
+    controller.step(1001.0)
+    assert fed.get("targets", "unknown") is None
+    assert fed.get("targets", "bilbao-t") is None
--- /dev/null
+++ b/tests/controllers/test_lifecycle.py
@@ -0,0 +1,53 @@
+import pytest
+from tests import boards
+
+from bramleyfork.controllers import lifecycle
+from bramleyfork.core import fleet
+
+
+def create_controller(fed):
+    return lifecycle.LifecycleController(
+        board=fed.board, settings=boards.create_settings()
+    )
+
+
+def terminate(fed, at):
+    fed.append("signals", fleet.ProcessSignal(kind="terminate", at=at))
+
+
+def test_host_serves_once_a_configuration_is_in_force():
+    fed = boards.Board()
+    controller = create_controller(fed)
+    controller.step(1000.0)
+    assert fed.get("lifecycle").phase == "starting"
+    fed.put("declaration", "in_force", boards.create_entry())
+    controller.step(1001.0)
+    assert fed.get("lifecycle").phase == "serving"
+    assert fed.get("lifecycle").since == 1001.0
+
+
+@pytest.mark.parametrize("section", ["routes", "owned"])
+def test_leaving_host_waits_for_callers_and_work_in_flight(section):
+    # Guards H9.
+    fed = boards.Board()
+    controller = create_controller(fed)
+    fed.put("declaration", "in_force", boards.create_entry())
+    controller.step(1000.0)
+    terminate(fed, 1010.0)
+    assert controller.step(1010.0) == 1017.0
+    fed.put(section, "q1", object())
+    due = controller.step(1017.0)
+    assert 1017.0 < due < 1017.2
+    assert fed.get("lifecycle").phase == "leaving"
+    fed.remove(section, "q1")
+    terminate(fed, due)  # A second signal does not start again.
+    assert controller.step(due) is None
+    assert fed.get("lifecycle").phase == "stopped"
+
+
+def test_host_without_configuration_stops_at_once():
+    fed = boards.Board()
+    controller = create_controller(fed)
+    terminate(fed, 1000.0)
+    controller.step(1000.0)
+    assert fed.get("lifecycle").phase == "stopped"
