--- /dev/null
+++ b/src/bramleyfork/transports/peer_counters.py
@@ -0,0 +1,69 @@
+"""Counts of the traffic with other hosts."""
+
+from bramleyfork.codecs import formats
+
+
+class Traffic:
+    """Messages and bytes of one kind.
+
+    Attributes:
+      messages_in: Messages received.
+      bytes_in: Bytes received.
+      messages_out: Messages handed to streams.
+      bytes_out: Bytes handed to streams.
+      dropped: Messages given up before they were handed to a stream.
+    """
+
+    __slots__ = (
+        "messages_in",
+        "bytes_in",
+        "messages_out",
+        "bytes_out",
+        "dropped",
+    )
+
+    def __init__(self):
+        self.messages_in = 0
+        self.bytes_in = 0
+        self.messages_out = 0
+        self.bytes_out = 0
+        self.dropped = 0
+
+
+class Counters:
+    """Traffic by kind of message; changed by one thread, read by others.
+
+    Attributes:
+      kinds: Traffic by kind; every kind is present from the start.
+    """
+
+    __slots__ = ("kinds",)
+
+    def __init__(self):
+        self.kinds = {kind: Traffic() for kind in formats.GROUPS}
+
+    def count_in(self, kind: str, size: int) -> None:
+        """Counts a received message of ``size`` bytes."""
+        traffic = self.kinds[kind]
+        traffic.messages_in += 1
+        traffic.bytes_in += size
+
+    def count_out(self, kind: str, size: int) -> None:
+        """Counts a sent message of ``size`` bytes."""
+        traffic = self.kinds[kind]
+        traffic.messages_out += 1
+        traffic.bytes_out += size
+
+    def count_dropped(self, kind: str) -> None:
+        """Counts a message that was given up."""
+        self.kinds[kind].dropped += 1
+
+    def sum_groups(self) -> dict[str, Traffic]:
+        """Returns the sums by group: formats.CONTROL and formats.DATA."""
+        sums = {formats.CONTROL: Traffic(), formats.DATA: Traffic()}
+        for kind, traffic in self.kinds.items():
+            total = sums[formats.GROUPS[kind]]
+            for name in Traffic.__slots__:
+                value = getattr(total, name) + getattr(traffic, name)
+                setattr(total, name, value)
+        return sums
--- /dev/null
+++ b/src/bramleyfork/transports/peer_cuts.py
@@ -0,0 +1,86 @@
+"""Cuts between hosts that tests order through a file."""
+
+import logging
+import os
+
+_LOG = logging.getLogger(__name__)
+
+_CHECK_PERIOD_S = 0.1
+_DIRECTIONS = {
+    "out": (True, False),
+    "in": (False, True),
+    "both": (True, True),
+}
+
+
+class Cuts:
+    """Hosts with which traffic is cut, as listed in a file.
+
+    Each line is ``out NAME``, ``in NAME`` or ``both NAME``. Without a file
+    nothing is cut.
+
+    Args:
+      path: The file, or None.
+    """
+
+    __slots__ = ("_path", "_checked_at", "_stamp", "_out", "_in")
+
+    def __init__(self, *, path: str | None):
+        self._path = path
+        self._checked_at = float("-inf")
+        self._stamp: tuple[int, int] | None = None
+        self._out: frozenset[str] = frozenset()
+        self._in: frozenset[str] = frozenset()
+
+    def refresh(self, now: float) -> None:
+        """Reads the file again if it has changed.
+
+        Args:
+          now: Monotonic seconds; the file is looked at every 100 ms at most.
+        """
+        if self._path is None or now - self._checked_at < _CHECK_PERIOD_S:
+            return
+        self._checked_at = now
+        try:
+            status = os.stat(self._path)
+            stamp = (status.st_mtime_ns, status.st_size)
+            if stamp != self._stamp:
+                self._read()
+            self._stamp = stamp
+        except OSError:
+            self._stamp, self._out, self._in = None, frozenset(), frozenset()
+
+    def is_out_cut(self, host: str) -> bool:
+        """Returns whether messages to ``host`` are discarded."""
+        return host in self._out
+
+    def is_in_cut(self, host: str) -> bool:
+        """Returns whether messages from ``host`` are ignored."""
+        return host in self._in
+
+    def is_cut(self, host: str) -> bool:
+        """Returns whether no stream with ``host`` can be set up."""
+        return host in self._out or host in self._in
+
+    def _read(self) -> None:
+        outgoing, incoming = set(), set()
+        with open(self._path, encoding="utf-8") as file:
+            lines = [line.split() for line in file if line.strip()]
+        for words in lines:
+            if len(words) != 2 or words[0] not in _DIRECTIONS:
+                _LOG.warning(
+                    "line of the cut file is not 'out NAME', 'in NAME' or"
+                    " 'both NAME'",
+                    extra={"file": self._path, "line": " ".join(words)},
+                )
+                continue
+            is_out, is_in = _DIRECTIONS[words[0]]
+            if is_out:
+                outgoing.add(words[1])
+            if is_in:
+                incoming.add(words[1])
+        self._out, self._in = frozenset(outgoing), frozenset(incoming)
+        _LOG.info(
+            "cut file read",
+            extra={"out": sorted(outgoing), "in": sorted(incoming)},
+        )
--- /dev/null
+++ b/src/bramleyfork/transports/peer_handshake.py
@@ -0,0 +1,39 @@
+"""The first message on a stream."""
+
+from bramleyfork.codecs import frames
+from bramleyfork.configuration import settings as daemon_settings
+from bramleyfork.core import messages
+
+
+def build_hello(settings: daemon_settings.Settings) -> messages.Hello:
+    """Returns the hello of this process."""
+    return messages.Hello(
+        protocol=frames.PROTOCOL,
+        deployment=settings.deployment,
+        host=settings.host,
+        incarnation=settings.incarnation,
+    )
+
+
+def find_fault(
+    hello: messages.Hello,
+    *,
+    expected: str | None,
+    settings: daemon_settings.Settings,
+) -> str | None:
+    """Returns why a stream must be closed, or None.
+
+    Args:
+      hello: What the other side said.
+      expected: Host that was dialled, None for any.
+      settings: Settings of this daemon.
+    """
+    if hello.protocol != frames.PROTOCOL:
+        return f"protocol {hello.protocol!r} is not {frames.PROTOCOL!r}"
+    if hello.deployment != settings.deployment:
+        return f"deployment {hello.deployment!r} is not {settings.deployment!r}"
+    if hello.host == settings.host:
+        return f"the other side has the name {hello.host!r} of this host"
+    if expected not in (None, hello.host):
+        return f"host {hello.host!r} answers for {expected!r}"
+    return None
--- /dev/null
+++ b/src/bramleyfork/transports/peer_streams.py
@@ -0,0 +1,178 @@
+"""One TCP stream with another host."""
+
+import asyncio
+import socket
+import typing
+
+from bramleyfork.codecs import frames
+from bramleyfork.core import clocks
+from bramleyfork.core import messages
+
+# Bytes that the other side does not acknowledge for this long break the
+# stream; the kernel would otherwise pause up to two minutes between its own
+# repetitions and keep the stream unusable long after a network partition.
+_UNACKNOWLEDGED_LIMIT_MS = 3000
+
+
+class Hub(typing.Protocol):
+    """What a stream reports to; all calls come from the event loop."""
+
+    def handle_open(self, stream: "Stream") -> None:
+        """A TCP connection is made."""
+
+    def handle_hello(self, stream: "Stream", frame: frames.Frame) -> None:
+        """The other side has introduced itself."""
+
+    def handle_frames(
+        self, stream: "Stream", batch: list[frames.Frame]
+    ) -> None:
+        """Messages have arrived after the hello."""
+
+    def handle_invalid(
+        self, stream: "Stream", error: frames.FrameError
+    ) -> None:
+        """The other side has sent something that is no message."""
+
+    def handle_lost(self, stream: "Stream") -> None:
+        """The connection has ended."""
+
+
+class Stream(asyncio.Protocol):
+    """Bytes to and from one other process.
+
+    Attributes:
+      expected: Host that a dialled stream must reach; None if not known.
+      dialled: Address that was dialled; None for an accepted stream.
+      host: Name of the other host once its hello was accepted.
+      incarnation: Incarnation of the other process, with ``host``.
+      ready: Done when ``host`` is set or the connection has ended.
+    """
+
+    __slots__ = (
+        "expected",
+        "dialled",
+        "host",
+        "incarnation",
+        "ready",
+        "_hub",
+        "_clock",
+        "_decoder",
+        "_greeted",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        *,
+        hub: Hub,
+        clock: clocks.Clock,
+        own_host: str,
+        expected: str | None = None,
+        dialled: str | None = None,
+    ):
+        self.expected = expected
+        self.dialled = dialled
+        self.host: str | None = None
+        self.incarnation = 0
+        self.ready = asyncio.get_running_loop().create_future()
+        self._hub = hub
+        self._clock = clock
+        self._decoder = frames.FrameDecoder(host=own_host)
+        self._greeted = False
+        self._transport: asyncio.Transport | None = None
+
+    @property
+    def remote(self) -> str:
+        """Address of the other side, for log lines."""
+        if self._transport is None:
+            return self.dialled or ""
+        name = self._transport.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if name else self.dialled or ""
+
+    @property
+    def usable(self) -> bool:
+        """Whether messages can be handed to the stream."""
+        return self.host is not None and not self._transport.is_closing()
+
+    @property
+    def buffered(self) -> int:
+        """Bytes handed over that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Sets socket options; called by asyncio."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            _UNACKNOWLEDGED_LIMIT_MS,
+        )
+        self._hub.handle_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Decodes messages; called by asyncio."""
+        if self._transport.is_closing():
+            return
+        result = self._decoder.feed(data, self._clock.read_monotonic())
+        if result.is_error():
+            self._hub.handle_invalid(self, result.error)
+            return
+        batch = result.ok
+        if batch and not self._greeted:
+            self._greeted = True
+            first = batch.pop(0)
+            if first.kind != "hello":
+                self._reject(f"the first message is {first.kind!r}, not hello")
+                return
+            self._hub.handle_hello(self, first)
+        if any(frame.kind == "hello" for frame in batch):
+            self._reject("a second hello")
+            return
+        if batch and self.host is not None:
+            self._hub.handle_frames(self, batch)
+
+    def eof_received(self) -> None:
+        """Checks that no message was cut short; called by asyncio."""
+        result = self._decoder.finish()
+        if result.is_error():
+            self._hub.handle_invalid(self, result.error)
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Reports the end; called by asyncio."""
+        if not self.ready.done():
+            self.ready.set_result(None)
+        self._hub.handle_lost(self)
+
+    def accept(self, hello: messages.Hello) -> None:
+        """Notes who the other side is."""
+        self.host = hello.host
+        self.incarnation = hello.incarnation
+        if not self.ready.done():
+            self.ready.set_result(None)
+
+    def write(self, data: bytes) -> None:
+        """Hands bytes to the stream."""
+        self._transport.write(data)
+
+    def close(self) -> None:
+        """Ends the connection after what was handed over is sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _reject(self, detail: str) -> None:
+        self._hub.handle_invalid(
+            self, frames.FrameError(reason="malformed", detail=detail)
+        )
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Returns IP address and port of ``address:port``."""
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
--- /dev/null
+++ b/src/bramleyfork/transports/peers.py
@@ -0,0 +1,169 @@
+"""Streams of msgpack messages with the other hosts."""
+
+import asyncio
+import contextlib
+import logging
+import threading
+
+from bramleyfork.core import blackboard
+from bramleyfork.core import clocks
+from bramleyfork.core import messages
+from bramleyfork.core import records
+from bramleyfork.core import transports
+from bramleyfork.transports import peer_book
+from bramleyfork.transports import peer_counters
+from bramleyfork.transports import peer_cuts
+from bramleyfork.transports import peer_hub
+from bramleyfork.transports import peer_inbox
+from bramleyfork.transports import peer_streams
+
+_LOG = logging.getLogger(__name__)
+
+_CONTROL_SECTIONS = (
+    "membership_out",
+    "configuration_out",
+    "listing_out",
+    "targets_out",
+    "quarantine_out",
+)
+_DATA_SECTIONS = ("subrequests", "subreplies")
+_WRITES = ("peer_subrequests", "peer_subreplies", "peer_control", "peer_links")
+
+_START_LIMIT_S = 10.0
+_STOP_LIMIT_S = 3.0
+
+
+@transports.register("peer_transport")
+class PeerTransport(transports.Transport):
+    """Moves messages between the blackboard and the other hosts.
+
+    All streams run on one event loop in one thread.
+
+    Attributes:
+      counters: Traffic by kind of message.
+      address: Where it listens, as address:port, once started.
+    """
+
+    def __init__(
+        self,
+        *,
+        board: blackboard.Blackboard,
+        settings: records.Record,
+        clock: clocks.Clock,
+    ):
+        super().__init__(board=board, settings=settings, clock=clock)
+        self.counters = peer_counters.Counters()
+        self.address = settings.peer_address
+        self._cursors = {
+            name: board.find_log(name).open_cursor()
+            for name in _CONTROL_SECTIONS + _DATA_SECTIONS
+        }
+        writers = {
+            name: board.grant_writer(name, self.name) for name in _WRITES
+        }
+        self._hub = peer_hub.PeerHub(
+            settings=settings,
+            clock=clock,
+            book=peer_book.LinkBook(
+                settings=settings,
+                clock=clock,
+                declaration=board.find_table("declaration"),
+                writer=writers["peer_links"],
+            ),
+            losses=writers["peer_subreplies"],
+            inbox=peer_inbox.Inbox(
+                host=settings.host,
+                subrequests=writers["peer_subrequests"],
+                subreplies=writers["peer_subreplies"],
+                control=writers["peer_control"],
+            ),
+            counters=self.counters,
+            cuts=peer_cuts.Cuts(path=settings.cut_file),
+        )
+        self._woken = False
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._stopping: asyncio.Event | None = None
+        self._thread: threading.Thread | None = None
+        self._started = threading.Event()
+        self._fault: BaseException | None = None
+        for name in self._cursors:
+            board.find_log(name).add_listener(self._wake)
+
+    def start(self) -> None:
+        """Begins to listen.
+
+        Raises:
+          OSError: The address cannot be listened on.
+        """
+        self._thread = threading.Thread(
+            target=self._run, name=self.name, daemon=True
+        )
+        self._thread.start()
+        if not self._started.wait(_START_LIMIT_S):
+            raise TimeoutError(f"no listener on {self.address!r} in time")
+        if self._fault is not None:
+            raise self._fault
+
+    def stop(self) -> None:
+        """Closes the listener and all streams and ends the thread."""
+        if self._thread is None or self._loop is None:
+            return
+        with contextlib.suppress(RuntimeError):  # The loop ended by itself.
+            self._loop.call_soon_threadsafe(self._stopping.set)
+        self._thread.join(_STOP_LIMIT_S)
+
+    def _run(self) -> None:
+        try:
+            asyncio.run(self._serve())
+        except Exception as error:
+            if self._started.is_set():
+                _LOG.exception("peer transport ended")
+            self._fault = error
+        finally:
+            self._started.set()
+
+    async def _serve(self) -> None:
+        loop = asyncio.get_running_loop()
+        ip, port = peer_streams.parse_address(self.settings.peer_address)
+        server = await loop.create_server(
+            self._hub.build_stream, ip, port, backlog=1024
+        )
+        ip, port = server.sockets[0].getsockname()[:2]
+        self.address = f"{ip}:{port}"
+        self._stopping = asyncio.Event()
+        self._hub.start()
+        self._loop = loop
+        self._started.set()
+        self._drain()
+        _LOG.info("listening for peers", extra={"address": self.address})
+        await self._stopping.wait()
+        server.close()
+        await self._hub.stop()
+
+    def _wake(self, _section: str) -> None:
+        # Called by any thread. Records that arrive while a turn is already
+        # ordered are taken by that turn.
+        if self._woken or self._loop is None:
+            return
+        self._woken = True
+        with contextlib.suppress(RuntimeError):  # The loop has been closed.
+            self._loop.call_soon_threadsafe(self._drain)
+
+    def _drain(self) -> None:
+        self._woken = False
+        own = self.settings.host
+        hub = self._hub
+        hub.begin()
+        for name in _CONTROL_SECTIONS:
+            for message in self._cursors[name].take():
+                if message.to == messages.EVERY_PEER:
+                    hub.send_every(message)
+                elif message.to != own:
+                    hub.send(message, message.to)
+        for message in self._cursors["subrequests"].take():
+            if message.owner != own:
+                hub.send(message, message.owner)
+        for message in self._cursors["subreplies"].take():
+            if message.router != own:
+                hub.send(message, message.router)
+        hub.flush()
