--- a/src/standins/target/server.py
+++ b/src/standins/target/server.py
@@ -1,6 +1,7 @@
 """The HTTP side of one target: connections, arrivals and replies."""
 
 import asyncio
+import collections.abc
 import itertools
 import json
 import time
@@ -52,7 +53,7 @@
             self._settle(outcome, now)
         blocked = self.board.find("setup").get("blocked_sources")
         for connection in list(self._open):
-            if connection.source in blocked:
+            if connection.source in blocked and not connection.control:
                 connection.cut_off()
         listening = self.board.find("life").get("now").listening
         if self.listener is not None and listening != self._listens:
@@ -66,15 +67,19 @@
         self.runner.run()
 
     def accept(self, connection: connections.Connection) -> bool:
-        """Returns False for a blocked source or a crashed target."""
-        if not self.board.find("life").get("now").listening:
-            return False
-        blocked = self.board.find("setup").get("blocked_sources")
+        """Returns False while the target is crashed."""
         self._open.add(connection)
-        return connection.source not in blocked
+        return self.board.find("life").get("now").listening
 
     def count(self, connection: connections.Connection) -> bool:
-        """Counts a connection; returns False if it is above the limit."""
+        """Counts a connection; returns False if it is above the limit.
+
+        Control connections are not counted, nor blocked by their source.
+        """
+        setup = self.board.find("setup")
+        if connection.source in setup.get("blocked_sources"):
+            connection.cut_off()
+            return False
         table = self.board.find("connections")
         counted = sum(1 for each in self._open if each.counted)
         if counted >= self.settings.connections:
@@ -256,15 +261,18 @@
     return kinds_by_path.get((method, path), ("unknown", path))
 
 
-def build_target(settings: target_settings.TargetSettings) -> Http:
+def build_target(
+    settings: target_settings.TargetSettings,
+    read_clock: collections.abc.Callable[[], float] = time.monotonic,
+) -> Http:
     """Returns the HTTP side of a new target with its board and runner."""
     board = boards.Board(sections=attempts.SECTIONS)
     members = [
-        controller_class(board=board, settings=settings)
-        for _, controller_class in kinds.CONTROLLERS.list_items()
+        kinds.CONTROLLERS.find(name)(board=board, settings=settings)
+        for name in kinds.STEP_ORDER
     ]
     http = members[-1]
-    http.runner = controllers.Runner(members=members)
+    http.runner = controllers.Runner(members=members, read_clock=read_clock)
     return http
 
 
