--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,362 @@
+"""A fleet of daemons with its platform and targets, as processes."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import urllib3
+
+from bramleyfork.configuration import declaration as declaration_module
+from bramleyfork.configuration import manifests
+from bramleyfork.core import declarations
+from standins import launch
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+READY_TIMEOUT_S = 30.0
+HOLDINGS = [[1, 1, 0, 65536]]
+
+Document = dict[str, typing.Any]
+
+
+class FleetError(Exception):
+    """A process of the fleet did not do what the harness needs."""
+
+
+class Deployment:
+    """An example's declaration and host settings, moved to own addresses.
+
+    Args:
+      name: Folder under ``examples``.
+      net: Second number of all loopback addresses, so that two fleets on one
+        machine do not meet.
+
+    Attributes:
+      parts: Text of each part of the declaration by key; may be changed
+        before and after the start.
+      hosts: Text of each host's settings by name.
+      revision: Revision last built.
+    """
+
+    __slots__ = ("net", "parts", "hosts", "revision")
+
+    def __init__(self, *, name: str, net: int):
+        self.net = net
+        folder = EXAMPLES / name
+        self.parts = {
+            path.stem: self._move(path)
+            for path in sorted((folder / "declaration").glob("*.toml"))
+            if path.stem != manifests.MANIFEST_KEY
+        }
+        self.hosts = {
+            path.stem: self._move(path)
+            for path in sorted((folder / "hosts").glob("*.toml"))
+        }
+        self.revision = 0
+
+    def edit(self, key: str, old: str, new: str) -> None:
+        """Replaces a text that must occur in a part."""
+        if old not in self.parts[key]:
+            raise FleetError(f"part {key!r} has no text {old!r}")
+        self.parts[key] = self.parts[key].replace(old, new)
+
+    def build_values(self, revision: int | None = None) -> dict[str, str]:
+        """Returns all values of the next revision, manifest included."""
+        self.revision = self.revision + 1 if revision is None else revision
+        bodies = {key: text.encode() for key, text in self.parts.items()}
+        manifest = manifests.build_manifest(bodies, revision=self.revision)
+        return {**self.parts, manifests.MANIFEST_KEY: manifest.decode()}
+
+    def read_declaration(self) -> declarations.Declaration:
+        """Returns the declaration that the parts stand for.
+
+        Raises:
+          FleetError: The parts are not valid.
+        """
+        bodies = {key: text.encode() for key, text in self.parts.items()}
+        manifest = manifests.build_manifest(bodies, revision=1)
+        checked = declaration_module.check_declaration(
+            {**bodies, manifests.MANIFEST_KEY: manifest}
+        )
+        if checked.is_error():
+            raise FleetError("; ".join(p.describe() for p in checked.error))
+        return checked.ok
+
+    def find_platform_address(self) -> str:
+        """Returns the address that the host settings name."""
+        text = next(iter(self.hosts.values()))
+        line = next(
+            row for row in text.splitlines() if row.startswith("platform_")
+        )
+        return json.loads(line.partition("=")[2])
+
+    def _move(self, path: pathlib.Path) -> str:
+        return path.read_text().replace('"127.0.', f'"127.{self.net}.')
+
+
+class Daemon:
+    """One host's process.
+
+    Args:
+      name: Name of the host.
+      settings: Text of its settings file.
+      folder: Where its settings and log are written.
+    """
+
+    __slots__ = ("name", "settings_path", "log_path", "process", "log")
+
+    def __init__(self, *, name: str, settings: str, folder: pathlib.Path):
+        self.name = name
+        self.settings_path = folder / f"{name}.toml"
+        self.settings_path.write_text(settings)
+        self.log_path = folder / f"{name}.log"
+        self.log = self.log_path.open("ab")
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "bramleyfork.daemon",
+                "--settings",
+                str(self.settings_path),
+            ],
+            stdin=subprocess.DEVNULL,
+            stdout=self.log,
+            stderr=self.log,
+        )
+
+    def send_signal(self, number: int) -> None:
+        """Sends a signal such as SIGSTOP to the process."""
+        self.process.send_signal(number)
+
+    def stop(self, timeout_s: float = 5.0) -> int:
+        """Ends the process at once; returns its exit status."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        status = self.process.wait(timeout_s)
+        self.log.close()
+        return status
+
+    def read_log(self) -> list[Document]:
+        """Returns the JSON lines written so far."""
+        entries = []
+        for line in self.log_path.read_text(errors="replace").splitlines():
+            if line.startswith("{"):
+                entries.append(json.loads(line))
+        return entries
+
+
+class Fleet:
+    """Platform, targets and daemons of one deployment.
+
+    Use as a context manager; all processes end with it.
+
+    Args:
+      deployment: What to run.
+      target_fields: Fields of the target stand-in's settings for all targets.
+    """
+
+    def __init__(self, *, deployment: Deployment, **target_fields: typing.Any):
+        self.deployment = deployment
+        self.declaration = deployment.read_declaration()
+        self.target_fields = target_fields
+        self.daemons: dict[str, Daemon] = {}
+        self.targets: dict[str, launch.StandIn] = {}
+        self.platform: launch.StandIn | None = None
+        self._folder = tempfile.TemporaryDirectory(prefix="bramleyfork-")
+        self._http = urllib3.PoolManager(maxsize=64, retries=False)
+
+    def __enter__(self) -> typing.Self:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.stop()
+
+    @property
+    def folder(self) -> pathlib.Path:
+        """Folder of logs and settings."""
+        return pathlib.Path(self._folder.name)
+
+    def start(self) -> None:
+        """Starts everything and waits until every host is ready."""
+        self.start_platform()
+        for name in self.declaration.data_centres:
+            self.start_targets(name)
+        for name in self.deployment.hosts:
+            self.start_daemon(name)
+        for name in self.daemons:
+            self.wait_ready(name)
+
+    def start_platform(self) -> None:
+        """Starts the platform with the deployment's next revision."""
+        values = self.folder / "values"
+        values.mkdir()
+        for key, text in self.deployment.build_values().items():
+            (values / f"{key}").write_text(text)
+        self.platform = launch.start_platform(
+            launch.build_platform(
+                values, address=self.deployment.find_platform_address()
+            )
+        )
+        self.list_targets()
+
+    def list_targets(self, **changes: Document) -> None:
+        """Sets the platform's list; ``changes`` override rows by target."""
+        rows = [
+            {
+                "name": name,
+                "state": "live",
+                "holdings": HOLDINGS,
+                **changes.get(name, {}),
+            }
+            for name in self.declaration.targets
+        ]
+        self.platform.control("listing", targets=rows)
+
+    def start_targets(self, data_centre: str) -> None:
+        """Starts the stand-ins of a data centre's targets."""
+        rows = [
+            self._build_target(target)
+            for target in self.declaration.targets.values()
+            if target.data_centre == data_centre
+        ]
+        if rows:
+            self.targets[data_centre] = launch.start_targets(
+                launch.build_targets(
+                    rows, control=f"127.{self.deployment.net}.0.1:0"
+                )
+            )
+
+    def start_daemon(self, name: str) -> Daemon:
+        """Starts one host's process."""
+        daemon = Daemon(
+            name=name,
+            settings=self.deployment.hosts[name],
+            folder=self.folder,
+        )
+        self.daemons[name] = daemon
+        return daemon
+
+    def wait_ready(
+        self, name: str, timeout_s: float = READY_TIMEOUT_S
+    ) -> float:
+        """Waits until a host is ready; returns the seconds it took."""
+        address = self.declaration.hosts[name].caller_address
+        started = time.monotonic()
+        reason = "no answer"
+        while time.monotonic() - started < timeout_s:
+            if self.daemons[name].process.poll() is not None:
+                break
+            try:
+                reply = self._http.request(
+                    "GET", f"http://{address}/readyz", timeout=1.0
+                )
+            except urllib3.exceptions.HTTPError as error:
+                reason = str(error)
+            else:
+                if reply.status == 200:
+                    return time.monotonic() - started
+                reason = reply.data.decode(errors="replace")
+            time.sleep(0.05)
+        log = self.daemons[name].log_path.read_text(errors="replace")
+        raise FleetError(f"host {name!r} is not ready: {reason}\n{log[-3000:]}")
+
+    def publish(self, revision: int | None = None) -> int:
+        """Publishes the parts as they are; returns the revision."""
+        values = self.deployment.build_values(revision)
+        self.platform.control("publish", values=values)
+        return self.deployment.revision
+
+    def query(
+        self, host: str, lookup: str, deadline_ms: int = 1000, **fields: object
+    ) -> Document:
+        """Sends a query to a host; returns the answer with its status.
+
+        Raises:
+          urllib3.exceptions.HTTPError: The host did not answer.
+        """
+        body = {"lookup": lookup, "deadline_ms": deadline_ms, **fields}
+        address = self.declaration.hosts[host].caller_address
+        reply = self._http.request(
+            "POST",
+            f"http://{address}/v1/query",
+            body=json.dumps(body),
+            timeout=deadline_ms / 1000 + 5.0,
+        )
+        return {**json.loads(reply.data), "status": reply.status}
+
+    def place(self, host: str, data_centre: str = "", tickets: int = 0):
+        """Returns a host's placement answer with its status."""
+        address = self.declaration.hosts[host].caller_address
+        fields = {"tickets": str(tickets)} if tickets else {}
+        if data_centre:
+            fields["data_centre"] = data_centre
+        reply = self._http.request(
+            "GET", f"http://{address}/v1/placement", fields=fields, timeout=5.0
+        )
+        return {**json.loads(reply.data), "status": reply.status}
+
+    def administer(self, host: str, path: str) -> Document:
+        """Returns a document of a host's administration interface."""
+        text = self.deployment.hosts[host]
+        line = next(
+            row for row in text.splitlines() if row.startswith("administration")
+        )
+        address = json.loads(line.partition("=")[2])
+        reply = self._http.request(
+            "GET", f"http://{address}{path}", timeout=5.0
+        )
+        return json.loads(reply.data)
+
+    def read_journals(self) -> dict[str, Document]:
+        """Returns the journal of every target by name."""
+        journals: dict[str, Document] = {}
+        for stand_in in self.targets.values():
+            journals.update(stand_in.read("journal")["targets"])
+        return journals
+
+    def find_stand_in(self, target: str) -> launch.StandIn:
+        """Returns the process that a target runs in."""
+        return self.targets[self.declaration.targets[target].data_centre]
+
+    def stop(self) -> None:
+        """Ends every process that the fleet started."""
+        for daemon in self.daemons.values():
+            daemon.stop()
+        for stand_in in self.targets.values():
+            stand_in.stop()
+        if self.platform is not None:
+            self.platform.stop()
+        self._http.clear()
+        if os.environ.get("BRAMLEYFORK_KEEP_LOGS"):
+            self._folder._finalizer.detach()
+            return
+        self._folder.cleanup()
+
+    def _build_target(self, target: declarations.Target) -> Document:
+        service = self.declaration.services[target.service]
+        # The stand-in's own queue is as long as the declaration says; a
+        # longer one would hide a host that exceeds its share.
+        fields = {
+            "address": target.address,
+            "slots": service.slots,
+            "queue": service.queue,
+            "connections": service.connections,
+            "cold_in_flight": service.cold_in_flight,
+            "cold_rate": service.cold_rate,
+            "cold_period_s": service.cold_period_s,
+            "holdings": HOLDINGS,
+        }
+        return launch.build_target(
+            target.name, target.service, **{**fields, **self.target_fields}
+        )
