--- /dev/null
+++ b/src/bramleyfork/codecs/documents.py
@@ -0,0 +1,53 @@
+"""JSON documents of the platform, turned into records."""
+
+import json
+import typing
+
+import expression
+
+from bramleyfork.core import fleet
+from bramleyfork.core import ranges
+from bramleyfork.core import requests
+
+_STATES = ("live", "leaving")
+
+
+def decode_listing(
+    body: bytes,
+) -> expression.Result[tuple[fleet.Listed, ...], str]:
+    """Decodes the platform's list of targets, as a whole or not at all."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return expression.Error(f"the list is not JSON: {error}")
+    rows = document.get("targets") if isinstance(document, dict) else None
+    if not isinstance(rows, list):
+        return expression.Error('the list has no array "targets"')
+    try:
+        return expression.Ok(tuple(_decode_row(row) for row in rows))
+    except (ValueError, TypeError, KeyError) as error:
+        return expression.Error(
+            f"a row of the list is malformed: {type(error).__name__}: {error}"
+        )
+
+
+def _decode_row(row: typing.Any) -> fleet.Listed:
+    name, state = row["name"], row["state"]
+    if not isinstance(name, str):
+        raise ValueError(f"name {name!r} is not a string")
+    if state not in _STATES:
+        raise ValueError(f"state {state!r} of {name!r} is not one of {_STATES}")
+    holdings = tuple(_decode_holding(holding) for holding in row["holdings"])
+    return fleet.Listed(target=name, state=state, holdings=holdings)
+
+
+def _decode_holding(fields: typing.Any) -> requests.Holding:
+    if not isinstance(fields, list) or any(type(f) is not int for f in fields):
+        raise ValueError(f"holding {fields!r} is not an array of integers")
+    index_version, map_version, low, high = fields
+    return requests.Holding(
+        snapshot=requests.Snapshot(
+            index_version=index_version, map_version=map_version
+        ),
+        key_range=ranges.KeyRange(low=low, high=high),
+    )
--- a/src/bramleyfork/configuration/declaration.py
+++ b/src/bramleyfork/configuration/declaration.py
@@ -49,6 +49,22 @@
     )
 
 
+def check_for_deployment(
+    parts: collections.abc.Mapping[str, bytes], deployment: str
+) -> expression.Result[declarations.Declaration, tuple[tables.Problem, ...]]:
+    """Checks a configuration that hosts of ``deployment`` are to take."""
+    checked = check_declaration(parts)
+    if checked.is_error() or checked.ok.deployment == deployment:
+        return checked
+    problem = tables.Problem(
+        file=manifests.MANIFEST_FILE,
+        key=f"{_DEPLOYMENT}.name",
+        value=checked.ok.deployment,
+        allowed=f"{deployment!r}, as in the settings of the host",
+    )
+    return expression.Error((problem,))
+
+
 def describe_problems(
     problems: collections.abc.Iterable[tables.Problem],
 ) -> str:
--- a/src/bramleyfork/configuration/manifests.py
+++ b/src/bramleyfork/configuration/manifests.py
@@ -15,6 +15,8 @@
 MANIFEST_KEY = "manifest"
 MANIFEST_FILE = "manifest.toml"
 PART_LIMIT = 1_000_000  # Bytes; the platform holds no larger values.
+# Every host keeps the whole configuration in memory, and control may use 64 MB.
+TOTAL_LIMIT = 16_000_000
 REVISION_LIMIT = 2**63 - 1  # Largest integer of TOML and msgpack.
 
 _KEY_RULE = (
@@ -174,6 +176,16 @@
     if checked.is_error():
         return expression.Error(checked.error)
     parts, problems = _read_parts(checked.ok["parts"])
+    total = sum(part.size for part in parts.values())
+    if total > TOTAL_LIMIT:
+        problems.append(
+            tables.Problem(
+                file=MANIFEST_FILE,
+                key="parts.size",
+                value=total,
+                allowed=f"at most {TOTAL_LIMIT} bytes over all parts",
+            )
+        )
     if problems:
         return expression.Error(tuple(problems))
     return expression.Ok(
--- /dev/null
+++ b/src/bramleyfork/controllers/configuration.py
@@ -0,0 +1,393 @@
+"""The controller that puts published configurations in force."""
+
+import logging
+import typing
+
+from bramleyfork.configuration import declaration
+from bramleyfork.configuration import manifests
+from bramleyfork.controllers import declaration_table
+from bramleyfork.core import controllers
+from bramleyfork.core import declarations
+from bramleyfork.core import messages
+from bramleyfork.core import platform_calls
+from bramleyfork.core import registries
+from bramleyfork.decisions import candidates
+from bramleyfork.decisions import pacing
+from bramleyfork.decisions import revisions
+
+_LOG = logging.getLogger(__name__)
+
+_PEER_PATIENCE_S = 1.0
+# How long a starting host waits for a second opinion before it puts the
+# highest configuration it knows in force.
+_START_WAIT_S = 2.0
+_ASK_INTERVAL_S = 0.5  # Between questions to peers at start.
+_OFFER_INTERVAL_S = 10.0  # Of watchers, so that others need not fall back.
+_PEERS = "peers"  # Any peer, among those a starting host has heard.
+
+# What to do with each kind of control message, by class name.
+HANDLERS: registries.Registry[typing.Callable] = registries.Registry(
+    kind="configuration message"
+)
+
+
+@controllers.register(
+    "configuration",
+    reads=("platform_results", "peer_control", "members"),
+    writes=("platform_reads", "declaration", "configuration_out"),
+)
+class ConfigurationController(controllers.Controller):
+    """Moves this host upward in the order of configurations.
+
+    A configuration is put in force whole, after the one check, or not at all.
+    It is fetched from the platform by watchers and by starting hosts, and from
+    the peer that offered it by all others.
+    """
+
+    __slots__ = (
+        "_candidate",
+        "_heard",
+        "_last_word",
+        "_offer_at",
+        "_plan",
+        "_ranked",
+        "_started_at",
+        "_table",
+        "_watchers",
+    )
+
+    def start(self) -> None:
+        """Sets up state before the first step."""
+        self._candidate: candidates.Candidate | None = None
+        self._heard: set[str] = set()
+        own = self.settings.peer_address
+        if all(seed == own for seed in self.settings.seeds):
+            self._heard.add(_PEERS)
+        self._last_word = 0.0
+        self._offer_at = 0.0
+        self._plan = pacing.ReadPlan(watch=pacing.Pace(), poll=pacing.Pace())
+        self._ranked: dict[str, tuple[str, ...]] = {}
+        self._started_at: float | None = None
+        self._table = declaration_table.DeclarationTable(
+            table=self.table("declaration"),
+            writer=self.writer("declaration"),
+        )
+        self._watchers: frozenset[str] = frozenset()
+
+    def step(self, now: float) -> float | None:
+        """Handles answers and messages, then asks for what is missing."""
+        if self._started_at is None:
+            self._started_at = now
+        self._choose_watchers()
+        for result in self.take("platform_results"):
+            if result.purpose == "configuration":
+                self._take_result(result, now)
+        for received in self.take("peer_control"):
+            self._take_message(received, now)
+        self._advance(now)
+        self._look_again(now)
+        self._plan, reads = pacing.plan_reads(
+            self._plan, now, self.settings.host, self._find_quiet_since()
+        )
+        self.writer("platform_reads").extend(reads)
+        self._tell_peers(now)
+        return self._find_wake_time()
+
+    def _choose_watchers(self) -> None:
+        gone = revisions.list_gone(self.table("members").list_records())
+        self._watchers = revisions.choose_watchers(self._ranked, gone)
+
+    def _find_quiet_since(self) -> float | None:
+        # Without a declaration the watchers are not known, so each host holds
+        # the watch.
+        if self._table.entry is None or self.settings.host in self._watchers:
+            return None
+        return self._last_word
+
+    # Answers of the platform.
+
+    def _take_result(
+        self, result: platform_calls.PlatformResult, now: float
+    ) -> None:
+        self._heard.add(candidates.PLATFORM)
+        manifest_paths = (pacing.WATCH_PATH, pacing.MANIFEST_PATH)
+        if result.path.partition("?")[0] not in manifest_paths:
+            self._take_platform_part(result, now)
+            return
+        news = pacing.holds_news(self._plan, result)
+        self._plan = pacing.note_result(
+            self._plan, result, now, self.settings.host
+        )
+        if news:
+            self._take_platform_manifest(result, now)
+
+    def _take_platform_manifest(
+        self, result: platform_calls.PlatformResult, now: float
+    ) -> None:
+        read = manifests.read_manifest(result.body)
+        if read.is_error():
+            self._table.remove_platform_view()
+            version = revisions.Version(
+                revision=0, digest=manifests.compute_digest(result.body)
+            )
+            self._table.refuse(version, read.error, now)
+            return
+        version = revisions.read_version(read.ok)
+        self._table.put_platform_view(version, result)
+        self._note_version(version, candidates.PLATFORM, now)
+        self._take_manifest(version, result.body)
+
+    def _take_platform_part(
+        self, result: platform_calls.PlatformResult, now: float
+    ) -> None:
+        candidate = self._candidate
+        if candidate is None or candidate.source != candidates.PLATFORM:
+            return
+        key = result.path.removeprefix(pacing.VALUES_PATH)
+        if result.status == 200 and self._take_part(
+            key, result.body, now + pacing.PATIENCE_S
+        ):
+            return
+        # A read ordered for an earlier candidate may bring an older part.
+        if result.sent_at >= candidate.asked_at:
+            self._drop_source(f"part {key!r} is not as declared", now)
+
+    # Messages of peers.
+
+    def _take_message(self, received: messages.Received, now: float) -> None:
+        if received.sender in self._watchers:
+            self._last_word = now
+        kind = type(received.message).__name__
+        if kind in HANDLERS.list_names():
+            HANDLERS.find(kind)(self, received.sender, received.message, now)
+
+    @HANDLERS.register("Ping")
+    @HANDLERS.register("Ack")
+    def _take_heartbeat(
+        self, sender: str, message: messages.Ping | messages.Ack, now: float
+    ) -> None:
+        self._note_version(revisions.read_version(message), sender, now)
+
+    @HANDLERS.register("ConfigurationOffer")
+    def _take_offer(
+        self, sender: str, message: messages.ConfigurationOffer, now: float
+    ) -> None:
+        version = revisions.read_version(message)
+        self._note_version(version, sender, now)
+        if revisions.is_newer(self._table.version, version):
+            self._offer(sender)
+
+    @HANDLERS.register("ConfigurationFetch")
+    def _answer_fetch(
+        self, sender: str, message: messages.ConfigurationFetch, now: float
+    ) -> None:
+        if self._table.entry is None:
+            return
+        if message.digest != self._table.version.digest:
+            self._offer(sender)
+            return
+        self.writer("configuration_out").extend(
+            candidates.build_parts(self._table.entry, sender, message.keys)
+        )
+
+    @HANDLERS.register("ConfigurationPart")
+    def _take_peer_part(
+        self, sender: str, message: messages.ConfigurationPart, now: float
+    ) -> None:
+        candidate = self._candidate
+        if candidate is None or candidate.source != sender:
+            return
+        if candidate.version.digest != message.digest:
+            return
+        if message.key == manifests.MANIFEST_KEY:
+            taken = self._take_manifest(candidate.version, message.body)
+        else:
+            taken = self._take_part(
+                message.key, message.body, now + _PEER_PATIENCE_S
+            )
+        if not taken:
+            self._drop_source(f"part {message.key!r} is not as declared", now)
+
+    # The candidate.
+
+    def _note_version(
+        self, version: revisions.Version, holder: str, now: float
+    ) -> None:
+        if version.revision <= 0:
+            return
+        if holder != candidates.PLATFORM:
+            self._heard.add(_PEERS)
+        self._table.note_offer(version, now)
+        if self._table.is_refused(version):
+            return
+        if revisions.is_newer(version, self._table.version):
+            self._candidate = candidates.follow(
+                self._candidate, version, holder
+            )
+
+    def _take_manifest(self, version: revisions.Version, body: bytes) -> bool:
+        candidate = self._candidate
+        if candidate is None or candidate.version != version:
+            return True
+        if candidate.manifest is not None:
+            return True
+        read = manifests.read_manifest(body)
+        if read.is_error() or version != revisions.read_version(read.ok):
+            return False
+        known = self._table.entry.parts.values() if self._table.entry else ()
+        self._candidate = candidates.adopt_manifest(
+            candidate, read.ok, body, known
+        )
+        return True
+
+    def _take_part(self, key: str, body: bytes, answer_by: float) -> bool:
+        if self._candidate.manifest is None:
+            return True
+        grown = candidates.add_part(self._candidate, key, body, answer_by)
+        if grown is None:
+            return False
+        self._candidate = grown
+        return True
+
+    def _drop_source(self, reason: str, now: float) -> None:
+        dropped = self._candidate
+        _LOG.warning(
+            "configuration not fetched",
+            extra={
+                "revision": dropped.version.revision,
+                "source": dropped.source,
+                "reason": reason,
+            },
+        )
+        self._candidate = candidates.drop_source(dropped)
+        if dropped.source == candidates.PLATFORM:
+            self._table.report(dropped.version, reason, now)
+
+    def _look_again(self, now: float) -> None:
+        """Reads the manifest again when the platform's was not followed.
+
+        A watch tells of it only once, and parts are published one after
+        another, so that a first fetch may find them half changed.
+        """
+        view = self._table.platform_view
+        if self._candidate is not None or view is None:
+            return
+        version = revisions.read_version(view)
+        if self._table.is_refused(version) or self._plan.poll_wanted:
+            return
+        newer = revisions.is_newer(version, self._table.version)
+        if newer and self._find_quiet_since() is None:
+            self._plan = pacing.note_failed_fetch(
+                self._plan, now, self.settings.host
+            )
+
+    def _advance(self, now: float) -> None:
+        candidate = self._candidate
+        if candidate is None:
+            return
+        missing = candidates.list_missing(candidate)
+        if not missing:
+            if self._may_start(now):
+                self._finish_candidate(candidate, now)
+            return
+        if candidates.is_waiting(candidate, now):
+            return
+        if candidate.source:
+            self._drop_source("no answer in time", now)
+        if self._candidate is not None:
+            self._fetch(self._candidate, missing, now)
+
+    def _may_start(self, now: float) -> bool:
+        return (
+            self._table.entry is not None
+            or self._heard >= {candidates.PLATFORM, _PEERS}
+            or now >= self._started_at + _START_WAIT_S
+        )
+
+    def _fetch(
+        self,
+        candidate: candidates.Candidate,
+        missing: tuple[str, ...],
+        now: float,
+    ) -> None:
+        source = candidate.holders[0]
+        patience_s = _PEER_PATIENCE_S
+        if source == candidates.PLATFORM:
+            patience_s = pacing.PATIENCE_S
+            self.writer("platform_reads").extend(
+                [pacing.build_read(pacing.VALUES_PATH + k) for k in missing]
+            )
+        else:
+            self.writer("configuration_out").append(
+                messages.ConfigurationFetch(
+                    to=source, digest=candidate.version.digest, keys=missing
+                )
+            )
+        self._candidate = candidate.replace(
+            source=source, asked_at=now, answer_by=now + patience_s
+        )
+
+    def _finish_candidate(
+        self, candidate: candidates.Candidate, now: float
+    ) -> None:
+        self._candidate = None
+        checked = declaration.check_for_deployment(
+            candidate.bodies, self.settings.deployment
+        )
+        if checked.is_ok():
+            self._put_in_force(checked.ok, candidate, now)
+            return
+        self._table.refuse(candidate.version, checked.error, now)
+
+    def _put_in_force(
+        self,
+        accepted: declarations.Declaration,
+        candidate: candidates.Candidate,
+        now: float,
+    ) -> None:
+        self._table.put_in_force(
+            declarations.DeclarationEntry(
+                declaration=accepted,
+                parts=candidate.bodies,
+                in_force_at=now,
+                source=candidate.source or candidate.holders[0],
+            )
+        )
+        self._plan = pacing.note_in_force(self._plan)
+        self._ranked = revisions.rank_watchers(accepted.hosts.values())
+        self._choose_watchers()
+        self._last_word = now
+        self._offer_at = now  # Watchers tell their peers at once.
+
+    # Questions and news to peers.
+
+    def _tell_peers(self, now: float) -> None:
+        if now < self._offer_at:
+            return
+        starting = self._table.entry is None
+        self._offer_at = now + (
+            _ASK_INTERVAL_S if starting else _OFFER_INTERVAL_S
+        )
+        if self._find_quiet_since() is None:
+            # Revision 0, of a starting host, asks peers to tell theirs.
+            self._offer(messages.EVERY_PEER)
+
+    def _offer(self, receiver: str) -> None:
+        version = self._table.version
+        self.writer("configuration_out").append(
+            messages.ConfigurationOffer(
+                to=receiver, revision=version.revision, digest=version.digest
+            )
+        )
+
+    def _find_wake_time(self) -> float:
+        plan_at = pacing.find_plan_time(
+            self._plan, self.settings.host, self._find_quiet_since()
+        )
+        times = [self._offer_at, plan_at]
+        if self._candidate is not None:
+            if candidates.list_missing(self._candidate):
+                times.append(self._candidate.answer_by)
+            else:
+                times.append(self._started_at + _START_WAIT_S)
+        return min(times)
--- /dev/null
+++ b/src/bramleyfork/controllers/listing.py
@@ -0,0 +1,120 @@
+"""The controller that keeps the platform's list of targets."""
+
+import math
+
+from bramleyfork.core import controllers
+from bramleyfork.core import fleet
+from bramleyfork.core import messages
+from bramleyfork.core import platform_calls
+from bramleyfork.decisions import listings
+from bramleyfork.decisions import pacing
+from bramleyfork.decisions import revisions
+
+_PATH = "/v1/targets"
+_INTERVAL_S = 1.0  # Between reads of a host that holds the watch.
+# Between reads of any other host: it gets changes from watchers, and this
+# makes up for changes that it missed.
+_REFRESH_S = 60.0
+_TIMEOUT_S = 2.0
+_PATIENCE_S = _TIMEOUT_S + 2.0
+# A watcher takes rows from peers only when its own reads have failed for this
+# long, so that a peer with an older list does not undo newer rows.
+_FRESH_S = 3.0
+
+
+@controllers.register(
+    "listing",
+    reads=("platform_results", "peer_control", "declaration", "members"),
+    writes=("listing_reads", "listing", "listing_out"),
+)
+class ListingController(controllers.Controller):
+    """Reads the list on watchers and passes changed rows to peers."""
+
+    __slots__ = ("_pace", "_read_at", "_ranked", "_version", "_watching")
+
+    def start(self) -> None:
+        """Sets up state before the first step."""
+        self._pace = pacing.Pace()
+        self._read_at = -math.inf
+        self._ranked: dict[str, tuple[str, ...]] = {}
+        self._version = revisions.NO_VERSION
+        self._watching = False
+
+    def step(self, now: float) -> float | None:
+        """Takes rows from platform and peers, then reads when it is time."""
+        entry = self.table("declaration").get("in_force")
+        if entry is None:
+            return None
+        version = revisions.read_version(entry.declaration)
+        if version != self._version:
+            self._version = version
+            self._ranked = revisions.rank_watchers(
+                entry.declaration.hosts.values()
+            )
+        self._note_watchers(now)
+        for result in self.take("platform_results"):
+            if result.purpose == "listing":
+                self._take_result(result, now)
+        for received in self.take("peer_control"):
+            if isinstance(received.message, messages.ListingUpdate):
+                self._take_update(received.message, now)
+        self._read(now)
+        return pacing.find_wake_time(self._pace)
+
+    def _note_watchers(self, now: float) -> None:
+        gone = revisions.list_gone(self.table("members").list_records())
+        watchers = revisions.choose_watchers(self._ranked, gone)
+        watching = self.settings.host in watchers
+        if watching and not self._watching and not self._pace.failures:
+            self._pace = self._pace.replace(next_at=now)
+        self._watching = watching
+
+    def _take_result(
+        self, result: platform_calls.PlatformResult, now: float
+    ) -> None:
+        if result.status != 200:
+            self._pace = pacing.fail_read(self._pace, now, self.settings.host)
+            return
+        self._pace = pacing.finish_read(
+            self._pace, result.sent_at + self._choose_interval()
+        )
+        present = self.table("listing").copy_records()
+        changed = listings.find_changed(present, result.rows)
+        for row in changed:
+            self.writer("listing").put(row.target, row)
+        for target in listings.find_vanished(present, result.rows):
+            self.writer("listing").remove(target)
+        # Each host reads the whole list at start, so a watcher's first read
+        # holds no news for the others.
+        if self._watching and self._read_at > -math.inf:
+            self.writer("listing_out").extend(listings.build_updates(changed))
+        self._read_at = now
+
+    def _choose_interval(self) -> float:
+        if self._watching:
+            return _INTERVAL_S
+        jitter = revisions.compute_fraction(self.settings.host, "listing")
+        return _REFRESH_S * (1 + jitter / 2)
+
+    def _take_update(self, update: messages.ListingUpdate, now: float) -> None:
+        if self._watching and now - self._read_at < _FRESH_S:
+            return
+        rows = [
+            fleet.Listed(target=target, state=state, holdings=holdings)
+            for target, state, holdings in update.rows
+        ]
+        present = self.table("listing").copy_records()
+        for row in listings.find_changed(present, rows):
+            self.writer("listing").put(row.target, row)
+
+    def _read(self, now: float) -> None:
+        if pacing.is_lost(self._pace, now):
+            self._pace = pacing.fail_read(self._pace, now, self.settings.host)
+        if not pacing.is_due(self._pace, now):
+            return
+        self.writer("listing_reads").append(
+            platform_calls.PlatformRead(
+                purpose="listing", path=_PATH, timeout_s=_TIMEOUT_S
+            )
+        )
+        self._pace = pacing.begin_read(self._pace, now, _PATIENCE_S)
--- a/src/bramleyfork/core/declarations.py
+++ b/src/bramleyfork/core/declarations.py
@@ -310,3 +310,64 @@
         self.digest = digest
         self.reason = reason
         self.refused_at = refused_at
+
+
+class Conflict(records.Record):
+    """Two configurations were published at one revision.
+
+    Attributes:
+      revision: The revision.
+      digests: SHA-256 of the manifests, sorted; the last one wins.
+      noticed_at: Monotonic seconds.
+    """
+
+    __slots__ = (
+        "revision",
+        "digests",
+        "noticed_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        revision: int,
+        digests: tuple[str, ...],
+        noticed_at: float,
+    ):
+        self.revision = revision
+        self.digests = digests
+        self.noticed_at = noticed_at
+
+
+class PlatformView(records.Record):
+    """The manifest that the platform served last.
+
+    A watch that ends without a change (status 304) after this etag confirms
+    that the platform still has this manifest.
+
+    Attributes:
+      revision: Its revision.
+      digest: SHA-256 of the manifest.
+      etag: The platform's version of the value.
+      seen_at: When it was received, monotonic seconds.
+    """
+
+    __slots__ = (
+        "revision",
+        "digest",
+        "etag",
+        "seen_at",
+    )
+
+    def __init__(
+        self,
+        *,
+        revision: int,
+        digest: str,
+        etag: str,
+        seen_at: float,
+    ):
+        self.revision = revision
+        self.digest = digest
+        self.etag = etag
+        self.seen_at = seen_at
--- a/src/bramleyfork/core/platform_calls.py
+++ b/src/bramleyfork/core/platform_calls.py
@@ -1,5 +1,6 @@
 """Records of calls to the platform's read-only service."""
 
+from bramleyfork.core import fleet
 from bramleyfork.core import records
 
 
@@ -38,10 +39,11 @@
       path: As in the read.
       sent_at: Monotonic seconds.
       received_at: Monotonic seconds.
-      status: HTTP status; 0 when there was no answer.
+      status: HTTP status; 0 when there was no usable answer.
       etag: Version of the value.
-      body: Content.
-      error: Why there was no answer.
+      body: Content; empty for a listing.
+      error: Why there was no usable answer.
+      rows: The rows of a listing.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "etag",
         "body",
         "error",
+        "rows",
     )
 
     def __init__(
@@ -66,6 +69,7 @@
         etag: str = "",
         body: bytes = b"",
         error: str = "",
+        rows: tuple[fleet.Listed, ...] = (),
     ):
         self.purpose = purpose
         self.path = path
@@ -75,3 +79,4 @@
         self.etag = etag
         self.body = body
         self.error = error
+        self.rows = rows
--- /dev/null
+++ b/src/bramleyfork/decisions/pacing.py
@@ -0,0 +1,245 @@
+"""When to read from the platform, so that its rate is kept."""
+
+import math
+
+from bramleyfork.core import platform_calls
+from bramleyfork.core import records
+from bramleyfork.decisions import revisions
+
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 30.0
+FALLBACK_S = 30.0  # Without word from a watcher.
+
+CALL_TIMEOUT_S = 3.0
+PATIENCE_S = CALL_TIMEOUT_S + 2.0  # Then the transport's answer is lost.
+# A watch is answered at least this often. A lease of 2.5 s runs from the
+# sending of an answered call, so a longer wait could not renew it.
+WATCH_WAIT_MS = 1000
+# Bounds the reads when the platform answers watches without waiting.
+WATCH_SPACING_S = 0.25
+
+WATCH_PATH = "/v1/watch/manifest"
+VALUES_PATH = "/v1/values/"
+MANIFEST_PATH = VALUES_PATH + "manifest"
+
+
+class Pace(records.Record):
+    """When one kind of platform read is due.
+
+    Attributes:
+      next_at: Earliest next read, monotonic seconds.
+      answer_by: When the read under way counts as lost, monotonic seconds;
+        None when there is none.
+      failures: Failed reads in a row.
+    """
+
+    __slots__ = ("next_at", "answer_by", "failures")
+
+    def __init__(
+        self,
+        *,
+        next_at: float = 0.0,
+        answer_by: float | None = None,
+        failures: int = 0,
+    ):
+        self.next_at = next_at
+        self.answer_by = answer_by
+        self.failures = failures
+
+
+def compute_pause(failures: int, host: str) -> float:
+    """Returns how long to wait after failed reads, seconds.
+
+    The pause doubles up to LONGEST_PAUSE_S. Its jitter of up to one half
+    keeps hosts from reading in step after an outage.
+
+    Args:
+      failures: Failed reads in a row, at least 1.
+      host: Name of the host that waits.
+    """
+    exponent = min(failures - 1, 16)
+    pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**exponent)
+    return pause * (1 - revisions.compute_fraction(host, str(failures)) / 2)
+
+
+def compute_fallback(host: str, reads: int) -> float:
+    """Returns how long a host waits for word from a watcher, seconds.
+
+    Args:
+      host: Name of the host that waits.
+      reads: Reads it has made so far, so that the jitter changes.
+    """
+    return FALLBACK_S * (
+        1 + revisions.compute_fraction(host, "fallback", str(reads)) / 2
+    )
+
+
+def is_due(pace: Pace, now: float) -> bool:
+    """Returns whether the next read may be made."""
+    return pace.answer_by is None and pace.next_at <= now
+
+
+def is_lost(pace: Pace, now: float) -> bool:
+    """Returns whether the answer to the read under way is overdue."""
+    return pace.answer_by is not None and pace.answer_by <= now
+
+
+def find_wake_time(pace: Pace) -> float:
+    """Returns when the pace next asks for a step, monotonic seconds."""
+    return pace.next_at if pace.answer_by is None else pace.answer_by
+
+
+def begin_read(pace: Pace, now: float, patience_s: float) -> Pace:
+    """Returns the pace after a read was ordered."""
+    return pace.replace(answer_by=now + patience_s)
+
+
+def finish_read(pace: Pace, next_at: float) -> Pace:
+    """Returns the pace after a read was answered."""
+    return pace.replace(next_at=next_at, answer_by=None, failures=0)
+
+
+def fail_read(pace: Pace, now: float, host: str) -> Pace:
+    """Returns the pace after a read failed or was lost."""
+    failures = pace.failures + 1
+    next_at = now + compute_pause(failures, host)
+    return pace.replace(next_at=next_at, answer_by=None, failures=failures)
+
+
+class ReadPlan(records.Record):
+    """State of the reads of the manifest.
+
+    Attributes:
+      watch: Pace of the watch.
+      poll: Pace of plain reads.
+      poll_wanted: Whether to read the manifest again after a failed fetch.
+      polls: Plain reads ordered so far.
+      etag: The platform's version of the manifest read last.
+    """
+
+    __slots__ = ("watch", "poll", "poll_wanted", "polls", "etag")
+
+    def __init__(
+        self,
+        *,
+        watch: Pace,
+        poll: Pace,
+        poll_wanted: bool = False,
+        polls: int = 0,
+        etag: str = "",
+    ):
+        self.watch = watch
+        self.poll = poll
+        self.poll_wanted = poll_wanted
+        self.polls = polls
+        self.etag = etag
+
+
+def holds_news(plan: ReadPlan, result: platform_calls.PlatformResult) -> bool:
+    """Returns whether an answer holds a manifest that is worth following.
+
+    A watch that answers with an unchanged value would otherwise start the
+    fetch of wrong parts again without a pause.
+    """
+    if result.status != 200:
+        return False
+    watched = result.path.startswith(WATCH_PATH)
+    return not (watched and result.etag and result.etag == plan.etag)
+
+
+def note_result(
+    plan: ReadPlan,
+    result: platform_calls.PlatformResult,
+    now: float,
+    host: str,
+) -> ReadPlan:
+    """Returns the plan after an answer to a watch or a read of the manifest."""
+    etag = result.etag if result.status == 200 else plan.etag
+    if result.path.startswith(WATCH_PATH):
+        if result.status not in (200, 304):
+            return plan.replace(watch=fail_read(plan.watch, now, host))
+        next_at = max(now, result.sent_at + WATCH_SPACING_S)
+        return plan.replace(etag=etag, watch=finish_read(plan.watch, next_at))
+    if result.status != 200:
+        return plan.replace(poll=fail_read(plan.poll, now, host))
+    quiet_s = compute_fallback(host, plan.polls)
+    poll = finish_read(plan.poll, now + quiet_s)
+    if plan.poll_wanted:
+        # The parts may be wrong again, so the pause must keep growing.
+        poll = poll.replace(failures=plan.poll.failures)
+    return plan.replace(etag=etag, poll=poll, poll_wanted=False)
+
+
+def note_failed_fetch(plan: ReadPlan, now: float, host: str) -> ReadPlan:
+    """Returns the plan after parts on the platform were missing or wrong.
+
+    The manifest is read again, as it and the parts are published one after
+    another.
+    """
+    poll = fail_read(plan.poll, now, host)
+    return plan.replace(poll=poll, poll_wanted=True)
+
+
+def note_in_force(plan: ReadPlan) -> ReadPlan:
+    """Returns the plan after a configuration was fetched whole."""
+    poll = plan.poll.replace(failures=0)
+    return plan.replace(poll=poll, poll_wanted=False)
+
+
+def plan_reads(
+    plan: ReadPlan, now: float, host: str, quiet_since: float | None
+) -> tuple[ReadPlan, list[platform_calls.PlatformRead]]:
+    """Returns the plan and the reads to order now.
+
+    Args:
+      plan: The plan so far.
+      now: Monotonic seconds.
+      host: Name of this host.
+      quiet_since: When a watcher was last heard; None on a host that holds the
+        watch itself.
+    """
+    if is_lost(plan.watch, now):
+        plan = plan.replace(watch=fail_read(plan.watch, now, host))
+    if is_lost(plan.poll, now):
+        plan = plan.replace(poll=fail_read(plan.poll, now, host))
+    paths = []
+    if quiet_since is None and is_due(plan.watch, now):
+        paths.append(f"{WATCH_PATH}?after={plan.etag}&wait_ms={WATCH_WAIT_MS}")
+        plan = plan.replace(watch=begin_read(plan.watch, now, PATIENCE_S))
+    wanted_at = _find_poll_time(plan, host, quiet_since)
+    if wanted_at <= now and is_due(plan.poll, now):
+        paths.append(MANIFEST_PATH)
+        plan = plan.replace(
+            poll=begin_read(plan.poll, now, PATIENCE_S), polls=plan.polls + 1
+        )
+    return plan, [build_read(path) for path in paths]
+
+
+def build_read(path: str) -> platform_calls.PlatformRead:
+    """Returns the order to read a path of the configuration."""
+    return platform_calls.PlatformRead(
+        purpose="configuration", path=path, timeout_s=CALL_TIMEOUT_S
+    )
+
+
+def find_plan_time(
+    plan: ReadPlan, host: str, quiet_since: float | None
+) -> float:
+    """Returns when ``plan_reads`` is next to be called, monotonic seconds."""
+    poll_at = plan.poll.answer_by
+    if poll_at is None:
+        poll_at = _find_poll_time(plan, host, quiet_since)
+    if quiet_since is None or plan.watch.answer_by is not None:
+        return min(poll_at, find_wake_time(plan.watch))
+    return poll_at
+
+
+def _find_poll_time(
+    plan: ReadPlan, host: str, quiet_since: float | None
+) -> float:
+    if plan.poll_wanted:
+        return plan.poll.next_at
+    if quiet_since is None:
+        return math.inf
+    quiet_s = compute_fallback(host, plan.polls)
+    return max(plan.poll.next_at, quiet_since + quiet_s)
--- /dev/null
+++ b/src/bramleyfork/transports/platform.py
@@ -0,0 +1,232 @@
+"""Calls to the platform's read-only service through urllib3."""
+
+import collections.abc
+import http.client
+import logging
+import socket
+import threading
+import typing
+
+import urllib3
+import urllib3.connection
+
+from bramleyfork.codecs import documents
+from bramleyfork.configuration import manifests
+from bramleyfork.core import blackboard
+from bramleyfork.core import clocks
+from bramleyfork.core import platform_calls
+from bramleyfork.core import transports
+
+_LOG = logging.getLogger(__name__)
+
+_READ_LIMIT = manifests.PART_LIMIT + 1  # One more byte shows an excess.
+_CHUNK = 65536  # Bytes taken from the socket at once.
+_CONNECT_TIMEOUT_S = 2.0
+_WAKE_INTERVAL_S = 0.5  # How soon an idle lane notices that it must end.
+_HEADERS = {"Accept-Encoding": "identity"}
+_LISTING = "listing"
+_READ_FAULTS = (
+    OSError,
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+)
+
+
+class ReadError(Exception):
+    """An answer could not be used."""
+
+
+class Lane:
+    """One thread with one connection that does one read at a time.
+
+    Args:
+      name: Name of the thread.
+      cursor: Reads to do.
+      accepts: Which of these reads are for this lane.
+      connect: Returns a new, unopened connection.
+      write: Takes each result.
+      clock: Source of monotonic time.
+    """
+
+    __slots__ = (
+        "_cursor",
+        "_accepts",
+        "_connection",
+        "_socket",
+        "_write",
+        "_clock",
+        "_stopped",
+        "_thread",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        cursor: blackboard.Cursor,
+        accepts: collections.abc.Callable[[platform_calls.PlatformRead], bool],
+        connect: collections.abc.Callable[
+            [], urllib3.connection.HTTPConnection
+        ],
+        write: collections.abc.Callable[[platform_calls.PlatformResult], None],
+        clock: clocks.Clock,
+    ):
+        self._cursor = cursor
+        self._accepts = accepts
+        self._connection = connect()
+        # The connection lets go of its socket before the body of an answer
+        # that ends with the stream has been read.
+        self._socket: socket.socket | None = None
+        self._write = write
+        self._clock = clock
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self, timeout_s: float = 2.0) -> None:
+        """Breaks off a waiting read and ends the thread."""
+        self._stopped.set()
+        if self._socket is not None:
+            try:
+                self._socket.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                _LOG.debug("platform connection was closed already")
+        self._thread.join(timeout_s)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            read = self._cursor.wait_for_one(_WAKE_INTERVAL_S)
+            if read is None or not self._accepts(read):
+                continue
+            result = self._fetch(read)
+            if not self._stopped.is_set():
+                self._write(result)
+        self._connection.close()
+
+    def _fetch(
+        self, read: platform_calls.PlatformRead
+    ) -> platform_calls.PlatformResult:
+        sent_at = self._clock.read_monotonic()
+        fields: dict[str, typing.Any] = {"status": 0}
+        try:
+            fields = self._get(read, sent_at + read.timeout_s)
+        except (ReadError, *_READ_FAULTS) as error:
+            self._connection.close()
+            fields["error"] = f"{type(error).__name__}: {error}"
+        return platform_calls.PlatformResult(
+            purpose=read.purpose,
+            path=read.path,
+            sent_at=sent_at,
+            received_at=self._clock.read_monotonic(),
+            **fields,
+        )
+
+    def _get(
+        self, read: platform_calls.PlatformRead, deadline: float
+    ) -> dict[str, typing.Any]:
+        connection = self._connection
+        if not connection.is_connected:
+            # The platform may have closed the connection since the last read.
+            connection.close()
+            connection.timeout = min(_CONNECT_TIMEOUT_S, read.timeout_s)
+            connection.connect()
+            self._socket = connection.sock
+        connection.timeout = self._find_remaining(deadline)
+        connection.request(
+            "GET", read.path, headers=_HEADERS, preload_content=False
+        )
+        response = connection.getresponse()
+        body = self._read_body(response, deadline)
+        fields = {
+            "status": response.status,
+            "etag": response.headers.get("ETag", ""),
+        }
+        if read.purpose != _LISTING or response.status != 200:
+            return fields | {"body": body}
+        decoded = documents.decode_listing(body)
+        if decoded.is_error():
+            raise ReadError(decoded.error)
+        return fields | {"rows": decoded.ok}
+
+    def _read_body(
+        self, response: urllib3.HTTPResponse, deadline: float
+    ) -> bytes:
+        body = bytearray()
+        while len(body) < _READ_LIMIT:
+            self._socket.settimeout(self._find_remaining(deadline))
+            amount = min(_CHUNK, _READ_LIMIT - len(body))
+            chunk = response.read1(amount, decode_content=False)
+            if not chunk:
+                return bytes(body)
+            body += chunk
+        raise ReadError(f"the body is larger than {_READ_LIMIT - 1} bytes")
+
+    def _find_remaining(self, deadline: float) -> float:
+        remaining = deadline - self._clock.read_monotonic()
+        if remaining <= 0:
+            raise ReadError("the answer was not complete in time")
+        return remaining
+
+
+def is_watch(read: platform_calls.PlatformRead) -> bool:
+    """Returns whether a read waits for a change."""
+    return read.path.startswith("/v1/watch/")
+
+
+def is_value(read: platform_calls.PlatformRead) -> bool:
+    """Returns whether a read is answered at once."""
+    return not is_watch(read)
+
+
+# One thread for each, so that a waiting watch holds up nothing else: name,
+# section of the reads, which of them.
+_LANES = (
+    ("platform-watch", "platform_reads", is_watch),
+    ("platform-values", "platform_reads", is_value),
+    ("platform-listing", "listing_reads", is_value),
+)
+
+
+@transports.register("platform_transport")
+class PlatformTransport(transports.Transport):
+    """Does the reads that controllers ask for, each once.
+
+    It follows no redirects, decodes no content encoding and repeats nothing;
+    the controllers pace the reads.
+    """
+
+    def start(self) -> None:
+        """Starts the lanes; connections are made with the first reads."""
+        self._writer = self.board.grant_writer("platform_results", self.name)
+        self._lanes = [
+            Lane(
+                name=name,
+                cursor=self.board.find_log(section).open_cursor(),
+                accepts=accepts,
+                connect=self._connect,
+                write=self._writer.append,
+                clock=self.clock,
+            )
+            for name, section, accepts in _LANES
+        ]
+        for lane in self._lanes:
+            lane.start()
+
+    def stop(self) -> None:
+        """Breaks off waiting reads and ends the lanes."""
+        for lane in self._lanes:
+            lane.stop()
+
+    def _connect(self) -> urllib3.connection.HTTPConnection:
+        host, _, port = self.settings.platform_address.rpartition(":")
+        source, _, _ = self.settings.peer_address.rpartition(":")
+        return urllib3.connection.HTTPConnection(
+            host.strip("[]"),
+            int(port),
+            source_address=(source.strip("[]"), 0),
+        )
--- /dev/null
+++ b/tests/controllers/test_controllers_listing.py
@@ -0,0 +1,155 @@
+from bramleyfork.configuration import declaration
+from bramleyfork.configuration import manifests
+from bramleyfork.configuration import settings
+from bramleyfork.controllers import listing
+from bramleyfork.core import blackboard
+from bramleyfork.core import declarations
+from bramleyfork.core import fleet
+from bramleyfork.core import messages
+from bramleyfork.core import platform_calls
+from bramleyfork.core import sections
+
+PARTS = {
+    "fleet": b"""
+[deployment]
+name = "test"
+[[data_centres]]
+name = "north"
+region = "one"
+"""
+    + b"".join(
+        b"""
+[[hosts]]
+name = "h%d"
+data_centre = "north"
+peer_address = "127.0.1.%d:7000"
+caller_address = "127.0.1.%d:8080"
+"""
+        % (n, n, n)
+        for n in (1, 2, 3)
+    )
+}
+
+
+class Node:
+    """A listing controller on a board of its own."""
+
+    def __init__(self, name):
+        self.board = blackboard.Blackboard(sections=sections.SECTIONS)
+        self.reads = self.board.find_log("listing_reads").open_cursor()
+        self.out = self.board.find_log("listing_out").open_cursor()
+        grant = self.board.grant_writer
+        self.results = grant("platform_results", "platform_transport")
+        self.control = grant("peer_control", "peer_transport")
+        self.declaration = grant("declaration", "configuration")
+        self.table = self.board.find_table("listing")
+        self.controller = listing.ListingController(
+            board=self.board,
+            settings=settings.Settings(
+                deployment="test",
+                host=name,
+                data_centre="north",
+                incarnation=1,
+                peer_address="127.0.1.1:7000",
+                caller_address="127.0.1.1:8080",
+                administration_address="127.0.1.1:8081",
+                platform_address="127.0.0.1:9000",
+            ),
+        )
+
+    def declare(self):
+        body = manifests.build_manifest(PARTS, revision=1)
+        parts = PARTS | {"manifest": body}
+        entry = declarations.DeclarationEntry(
+            declaration=declaration.check_declaration(parts).ok,
+            parts=parts,
+            in_force_at=0.0,
+            source="platform",
+        )
+        self.declaration.put("in_force", entry)
+        return self
+
+    def answer(self, now, *rows, status=200):
+        (read,) = self.reads.take()
+        self.results.append(
+            platform_calls.PlatformResult(
+                purpose=read.purpose,
+                path=read.path,
+                sent_at=now,
+                received_at=now,
+                status=status,
+                rows=rows,
+            )
+        )
+        return self.controller.step(now)
+
+
+def create_row(target, state="live"):
+    return fleet.Listed(target=target, state=state, holdings=())
+
+
+def create_node(*, watching):
+    """Returns a node that has read the list once, at time 0."""
+    for name in ("h1", "h2", "h3"):
+        node = Node(name).declare()
+        node.controller.step(0.0)
+        if node.controller._watching == watching:
+            node.answer(0.0, create_row("a"), create_row("b"))
+            assert node.out.take() == []
+            return node
+    raise AssertionError("no host with this role")
+
+
+def test_nothing_is_read_before_a_declaration_is_in_force():
+    node = Node("h1")
+    assert node.controller.step(0.0) is None
+    assert node.reads.take() == []
+
+
+def test_watcher_reads_each_second_and_passes_on_changes():
+    node = create_node(watching=True)
+    node.controller.step(1.0)
+    wake = node.answer(1.0, create_row("a"), create_row("b", "leaving"))
+    assert wake == 2.0
+    (update,) = node.out.take()
+    assert update.to == messages.EVERY_PEER
+    assert update.rows == (("b", "leaving", ()),)
+    node.controller.step(2.0)
+    node.answer(2.0, create_row("a"))
+    assert list(node.table.copy_records()) == ["a"]
+
+
+def test_other_hosts_take_rows_from_peers_and_read_rarely():
+    node = create_node(watching=False)
+    update = messages.ListingUpdate(to="h1", rows=(("b", "leaving", ()),))
+    node.control.append(
+        messages.Received(sender="h2", received_at=1.0, message=update)
+    )
+    assert 60.0 <= node.controller.step(1.0) <= 90.0
+    assert node.table.get("b").state == "leaving"
+    assert node.out.take() == []
+
+
+def test_watcher_with_fresh_list_ignores_rows_of_peers():
+    # Guards against a peer with an older list undoing newer rows.
+    node = create_node(watching=True)
+    for now, state in ((1.0, "live"), (4.0, "leaving")):
+        update = messages.ListingUpdate(to="h1", rows=(("b", "leaving", ()),))
+        node.control.append(
+            messages.Received(sender="h2", received_at=now, message=update)
+        )
+        node.controller.step(now)
+        assert node.table.get("b").state == state
+
+
+def test_failed_reads_keep_the_rows_and_back_off():
+    node = create_node(watching=True)
+    now, gaps = 1.0, []
+    for _ in range(12):
+        node.controller.step(now)
+        wake = node.answer(now, status=0)
+        gaps.append(wake - now)
+        now = wake
+    assert len(node.table) == 2
+    assert gaps[0] <= 0.5
+    assert 15.0 <= gaps[-1] <= 30.0
