--- /dev/null
+++ b/src/bramleyfork/controllers/member_table.py
@@ -0,0 +1,191 @@
+"""What the membership controller writes to the members table."""
+
+import collections.abc
+import logging
+import math
+
+from bramleyfork.core import blackboard
+from bramleyfork.core import fleet
+from bramleyfork.core import messages
+from bramleyfork.decisions import membership
+
+_LOG = logging.getLogger(__name__)
+
+# Smaller changes of the own load do not wake the readers of the table.
+_LOAD_STEP = 0.05
+
+
+class MemberTable:
+    """Beliefs about the declared hosts and the news still to spread.
+
+    Args:
+      host: Name of this host.
+      incarnation: Incarnation of this process.
+      table: The members table, for reading.
+      writer: The right to change it.
+    """
+
+    __slots__ = (
+        "_host",
+        "_own",
+        "_table",
+        "_writer",
+        "_declared",
+        "_members",
+        "_sends",
+        "_suspects",
+    )
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        incarnation: int,
+        table: blackboard.Table,
+        writer: blackboard.TableWriter,
+    ):
+        self._host = host
+        self._own = fleet.Member(
+            host=host,
+            incarnation=incarnation,
+            state="alive",
+            changed_at=-math.inf,
+            load=0.0,
+            leased=False,
+        )
+        self._table = table
+        self._writer = writer
+        self._declared: frozenset[str] = frozenset()
+        self._members: dict[str, fleet.Member] = {}
+        self._sends: dict[str, int] = {}
+        self._suspects: set[str] = set()
+
+    def is_reachable(self, host: str) -> bool:
+        """Returns whether a host may be expected to answer."""
+        return membership.is_reachable(self._members.get(host))
+
+    def is_new_process(self, update: messages.MemberUpdate) -> bool:
+        """Returns whether news is of a process not heard of before."""
+        return membership.is_new_process(self._members.get(update.host), update)
+
+    def keep_declared(self, hosts: collections.abc.Iterable[str]) -> None:
+        """Removes the members that are not declared any more."""
+        self._declared = frozenset(hosts)
+        for host in list(self._members):
+            if host not in self._declared and host != self._host:
+                del self._members[host]
+                self._sends.pop(host, None)
+                self._suspects.discard(host)
+                self._writer.remove(host)
+
+    def update_own(
+        self, *, state: str, leased: bool, load: float, now: float
+    ) -> None:
+        """Writes the entry of this host if it has changed.
+
+        A new state or lease is spread. The lease has no place in the order of
+        news, so its change takes a new incarnation.
+        """
+        own = self._own
+        is_known = self._host in self._members
+        if is_known and (own.state, own.leased) == (state, leased):
+            if abs(own.load - load) < _LOAD_STEP:
+                return
+            self._put(own.replace(load=round(load, 3)), spread=False)
+            return
+        self._put(
+            own.replace(
+                incarnation=own.incarnation
+                + (is_known and own.leased != leased),
+                state=state,
+                changed_at=now if own.state != state else own.changed_at,
+                load=round(load, 3),
+                leased=leased,
+            )
+        )
+
+    def merge(
+        self, update: messages.MemberUpdate, now: float, *, direct: bool
+    ) -> None:
+        """Takes in news of a declared host and refutes wrong news of this."""
+        if update.host == self._host:
+            refutation = membership.find_refutation(self._own, update)
+            if refutation is not None:
+                self._put(self._own.replace(incarnation=refutation))
+            return
+        if update.host not in self._declared:
+            return
+        before = self._members.get(update.host)
+        member = membership.merge_update(before, update, now, direct=direct)
+        if member is None:
+            return
+        is_news = before is None or membership.supersedes(update, before)
+        self._put(member, spread=is_news)
+
+    def suspect(self, host: str, now: float) -> bool:
+        """Suspects a host that did not answer; returns whether it is new."""
+        member = membership.suspect_member(self._members.get(host), now)
+        if member is None:
+            return False
+        self._put(member)
+        return True
+
+    def expire_suspicions(self, now: float) -> None:
+        """Declares dead the hosts that were suspect for too long."""
+        for host in list(self._suspects):
+            member = membership.expire_suspicion(self._members[host], now)
+            if member is not None:
+                self._put(member)
+
+    def restart_suspicions(self, now: float) -> None:
+        """Lets suspects answer again, after this process was paused."""
+        for host in list(self._suspects):
+            self._put(self._members[host].replace(changed_at=now), spread=False)
+
+    def find_wake_time(self) -> float:
+        """Returns when the first suspicion expires, monotonic seconds."""
+        return min(
+            (
+                self._members[host].changed_at + membership.SUSPICION_S
+                for host in self._suspects
+            ),
+            default=math.inf,
+        )
+
+    def choose_updates(
+        self, receiver: str
+    ) -> tuple[messages.MemberUpdate, ...]:
+        """Returns the news for one message and counts it as sent."""
+        updates, self._sends = membership.choose_updates(
+            self._members, self._sends, own=self._host, receiver=receiver
+        )
+        return updates
+
+    def list_everything(self) -> list[tuple[messages.MemberUpdate, ...]]:
+        """Returns all beliefs in groups that fit a message."""
+        return membership.list_everything(self._members)
+
+    def _put(self, member: fleet.Member, *, spread: bool = True) -> None:
+        before = self._members.get(member.host)
+        self._members[member.host] = member
+        if member.host == self._host:
+            self._own = member
+        if spread:
+            self._sends[member.host] = membership.compute_sends(
+                len(self._declared)
+            )
+        if member.state == "suspect":
+            self._suspects.add(member.host)
+        else:
+            self._suspects.discard(member.host)
+        self._writer.put(member.host, member)
+        if before is None or before.state != member.state:
+            _LOG.info(
+                "member changed",
+                extra={
+                    "member": member.host,
+                    "incarnation": member.incarnation,
+                    "before": before.state if before else "unknown",
+                    "state": member.state,
+                },
+            )
--- /dev/null
+++ b/tests/decisions/test_decisions_membership.py
@@ -0,0 +1,155 @@
+import itertools
+import random
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from bramleyfork.core import clocks
+from bramleyfork.core import fleet
+from bramleyfork.core import messages
+from bramleyfork.decisions import membership
+from bramleyfork.decisions import probes
+
+states = strategies.sampled_from(["alive", "suspect", "leaving", "dead"])
+updates = strategies.builds(
+    messages.MemberUpdate,
+    host=strategies.just("h"),
+    incarnation=strategies.integers(1, 4),
+    state=states,
+    load=strategies.just(0.0),
+    leased=strategies.just(True),
+)
+
+
+def create_member(host="h", incarnation=1, state="alive", changed_at=0.0):
+    return fleet.Member(
+        host=host, incarnation=incarnation, state=state, changed_at=changed_at
+    )
+
+
+def merge_all(news):
+    member = None
+    for update in news:
+        member = (
+            membership.merge_update(member, update, 0.0, direct=False) or member
+        )
+    return member.incarnation, member.state
+
+
+@hypothesis.given(strategies.lists(updates, min_size=1, max_size=4))
+def test_hosts_agree_whatever_the_order_of_news(news):
+    # Guards against beliefs that never converge.
+    results = {merge_all(order) for order in itertools.permutations(news)}
+    assert len(results) == 1
+
+
+@hypothesis.given(updates, states.filter(lambda s: s in ("alive", "leaving")))
+def test_refutation_beats_what_it_refutes(update, own_state):
+    own = create_member(incarnation=2, state=own_state)
+    incarnation = membership.find_refutation(own, update)
+    if incarnation is None:
+        assert not membership.supersedes(update, own)
+        return
+    told = membership.build_update(own.replace(incarnation=incarnation))
+    believed = membership.merge_update(None, update, 0.0, direct=False)
+    assert membership.supersedes(told, believed)
+
+
+def test_load_of_third_parties_is_not_taken():
+    # Guards against an old load that travels a long way.
+    member = create_member()
+    told = membership.build_update(member.replace(load=0.5))
+    assert membership.merge_update(member, told, 1.0, direct=False) is None
+    merged = membership.merge_update(member, told, 1.0, direct=True)
+    assert (merged.load, merged.changed_at) == (0.5, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("state", "after"),
+    [
+        ("alive", "suspect"),
+        ("leaving", "dead"),
+        ("suspect", None),
+        ("dead", None),
+    ],
+)
+def test_state_after_no_answer(state, after):
+    suspected = membership.suspect_member(create_member(state=state), 5.0)
+    assert (suspected and suspected.state) == after
+
+
+def test_suspicion_expires():
+    clock = clocks.ManualClock()
+    suspect = membership.suspect_member(create_member(), clock.read_monotonic())
+    now = clock.advance(membership.SUSPICION_S - 0.01)
+    assert membership.expire_suspicion(suspect, now) is None
+    dead = membership.expire_suspicion(suspect, clock.advance(0.02))
+    assert dead.state == "dead"
+    assert membership.expire_suspicion(dead, now + 10) is None
+
+
+@hypothesis.given(strategies.integers(1, 30), strategies.integers(0, 99))
+def test_each_turn_visits_each_host_once(count, seed):
+    hosts = [f"h{n}" for n in range(count)]
+    rotation = membership.Rotation(hosts=hosts, source=random.Random(seed))
+    for _ in range(3):
+        turn = [rotation.choose_next(lambda _: True) for _ in hosts]
+        assert sorted(turn) == sorted(hosts)
+
+
+@hypothesis.given(strategies.integers(1, 9), strategies.integers(0, 30))
+def test_the_only_accepted_host_is_always_found(count, skipped):
+    hosts = [f"h{n}" for n in range(count)]
+    rotation = membership.Rotation(hosts=hosts, source=random.Random(1))
+    for _ in range(skipped):
+        rotation.choose_next(lambda _: True)
+    assert rotation.choose_next(lambda host: host == "h0") == "h0"
+    assert rotation.choose_next(lambda _: False) is None
+
+
+@hypothesis.given(strategies.integers(1, 40))
+def test_news_is_sent_a_limited_number_of_times(count):
+    members = {f"h{n}": create_member(f"h{n}") for n in range(count)}
+    sends = dict.fromkeys(members, membership.compute_sends(count))
+    seen = dict.fromkeys(members, 0)
+    for _ in range(10_000):
+        chosen, sends = membership.choose_updates(
+            members, sends, own="own", receiver="other"
+        )
+        assert len(chosen) <= membership.UPDATES_PER_MESSAGE
+        for update in chosen:
+            seen[update.host] += 1
+        if not sends:
+            break
+    assert set(seen.values()) == {membership.compute_sends(count)}
+
+
+def test_receiver_hears_what_is_believed_of_it():
+    members = {n: create_member(n) for n in ("own", "a", "b")}
+    members["a"] = create_member("a", state="dead")
+    chosen, _ = membership.choose_updates(
+        members, {"b": 1}, own="own", receiver="a"
+    )
+    assert [update.host for update in chosen] == ["own", "a", "b"]
+
+
+def test_ack_counts_only_from_the_host_that_was_asked():
+    # Guards against an ack of another host that renews the lease.
+    pings = probes.Pings()
+    sequence = pings.note_sent("b", 0.0, is_probe=True)
+    assert pings.take_answered(sequence, "c", "b") is None
+    assert pings.take_answered(sequence, "b", "c") is None
+    assert pings.take_answered(sequence, "b", "b").sent_at == 0.0
+    assert pings.take_answered(sequence, "b", "b") is None
+    assert pings.take_unanswered_probe() is None
+
+
+def test_late_probe_is_reported_once_and_old_pings_are_forgotten():
+    pings = probes.Pings()
+    sequence = pings.note_sent("b", 0.0, is_probe=True)
+    assert pings.take_late_probe(0.1) is None
+    assert pings.take_late_probe(0.2) == "b"
+    assert pings.take_late_probe(0.3) is None
+    pings.forget_old(2.5)
+    assert pings.take_answered(sequence, "b", "b") is None
