--- a/src/bramleyfork/controllers/ownership.py
+++ b/src/bramleyfork/controllers/ownership.py
@@ -187,7 +187,7 @@
                 code = "leaving" if status.state == "leaving" else "target_out"
                 self._refuse(request, code, now)
         while len(owned.queue):
-            if not self._may_start(now):
+            if not self._holds_lease(now):
                 self._refuse(owned.queue.take(), "no_lease", now)
                 continue
             due = self._find_send_time(owned, now)
@@ -199,10 +199,8 @@
         self._busy.discard(name)
         return None
 
-    def _may_start(self, now: float) -> bool:
-        return lease_decisions.may_start(
-            self.table("lease").get("current"), now
-        )
+    def _holds_lease(self, now: float) -> bool:
+        return lease_decisions.is_held(self.table("lease").get("current"), now)
 
     def _find_send_time(
         self, owned: _owned_target.OwnedTarget, now: float
--- a/src/bramleyfork/decisions/intake.py
+++ b/src/bramleyfork/decisions/intake.py
@@ -42,7 +42,7 @@
         return answers.build_refusal(
             query.query_id, "deadline_past", detail="no time is left"
         )
-    if not lease_decisions.may_start(lease, now):
+    if not lease_decisions.is_held(lease, now):
         return answers.build_refusal(
             query.query_id,
             "no_lease",
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -85,7 +85,7 @@
         # deadline and lease are checked immediately before the send.
         if request.deadline <= sent_at:
             return _fail(attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0)
-        if not lease_decisions.may_start(self._lease.get("current"), sent_at):
+        if not lease_decisions.is_held(self._lease.get("current"), sent_at):
             return _fail(attempt, "no_lease", verdicts.Verdict.NOT_RUN, 0.0)
         remaining_s = request.deadline - sent_at
         try:
