Count waiting and sent sub-requests while draining

Cause: the section owned has one standing record per target, so a leaving host would have counted idle targets as work and closed only at the last deadline. Change: count the queue and the requests in flight of each owned target. Before: one record counted as one request. Conclusion: drain ends as soon as the work has ended.

--- a/src/bramleyfork/controllers/lifecycle.py
+++ b/src/bramleyfork/controllers/lifecycle.py
@@ -41,7 +41,7 @@
     def _drain(self, now: float, since: float) -> float | None:
         lifetime_s, longest_s = self._find_spans()
         in_flight = drain.count_in_flight(
-            self.table("routes").list_records(),
+            len(self.table("routes")),
             self.table("owned").list_records(),
         )
         if drain.may_close(now, since, lifetime_s, longest_s, in_flight):
--- a/src/bramleyfork/decisions/drain.py
+++ b/src/bramleyfork/decisions/drain.py
@@ -47,16 +47,20 @@
     return in_flight == 0 or now >= earliest + longest_deadline_s + _GRACE_S
 
 
+class OwnedWork(typing.Protocol):
+    """The sub-requests that a host holds for one target."""
+
+    queue: collections.abc.Sized
+    in_flight: collections.abc.Sized
+
+
 def count_in_flight(
-    *tables: collections.abc.Iterable[typing.Any],
+    queries: int, owned: collections.abc.Iterable[OwnedWork]
 ) -> int:
-    """Returns the number of requests in flight in tables of work.
+    """Returns the number of queries and sub-requests in flight.
 
-    A record with a field ``in_flight`` stands for that many requests, any
-    other record for one.
+    Args:
+      queries: Queries that this host routes.
+      owned: Work that this host holds, by target.
     """
-    return sum(
-        getattr(record, "in_flight", 1)
-        for records in tables
-        for record in records
-    )
+    return queries + sum(len(w.queue) + len(w.in_flight) for w in owned)
