Add the administration transport and metrics

Cause: operators could not see what a host believes and does. Change: a read-only transport with pages from a registry, metrics read from the blackboard when asked for, query metrics kept by the caller transport, and the section instruments, through which the daemon hands over recent decisions and the parts' counters. Before: no view of a running host. Conclusion: counting costs one addition per event; the rest is paid on scrape.

--- a/src/bramleyfork/core/sections.py
+++ b/src/bramleyfork/core/sections.py
@@ -40,4 +40,5 @@
     ("quarantine_out", LOG, "quarantine"),
     ("lifecycle", TABLE, "lifecycle"),
     ("signals", LOG, "process"),
+    ("instruments", TABLE, "process"),
 )
--- /dev/null
+++ b/src/bramleyfork/transports/administration.py
@@ -0,0 +1,189 @@
+"""The read-only HTTP interface for operators."""
+
+import collections.abc
+import threading
+import typing
+
+import cherrypy
+
+from bramleyfork.codecs import documents
+from bramleyfork.codecs import pages
+from bramleyfork.core import blackboard
+from bramleyfork.core import registries
+from bramleyfork.core import sections
+from bramleyfork.core import transports
+from bramleyfork.transports import metrics
+from bramleyfork.transports import servers
+
+_THREADS = 4  # Operators and one or two scrapers.
+_STOP_LIMIT_S = 2.0
+_JSON = "application/json"
+_METRICS = "text/plain; version=0.0.4; charset=utf-8"
+
+# A page is built from the transport, which gives board, settings and clock.
+Page = collections.abc.Callable[["AdministrationTransport"], typing.Any]
+PAGES: registries.Registry[Page] = registries.Registry(kind="page")
+
+
+@transports.register("administration_transport")
+class AdministrationTransport(transports.Transport):
+    """Serves operators on ``settings.administration_address``."""
+
+    def __init__(self, **arguments: typing.Any):
+        super().__init__(**arguments)
+        self._metrics = metrics.BoardMetrics(board=self.board)
+        self._server: servers.Server | None = None
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """The address:port that is listened on, once started."""
+        return "{}:{}".format(*self._server.bind_addr[:2])
+
+    def start(self) -> None:
+        """Begins to serve; returns once listening."""
+        self._server = servers.build_server(
+            address=self.settings.administration_address,
+            root=_build_tree(self),
+            threads=_THREADS,
+            clock=self.clock,
+        )
+        self._thread = servers.start_server(self._server, "administration")
+
+    def stop(self) -> None:
+        """Closes the listener and ends the threads."""
+        if self._server is None:
+            return
+        self._server.shutdown_timeout = _STOP_LIMIT_S
+        self._server.stop()
+        self._thread.join(_STOP_LIMIT_S)
+
+    def render_metrics(self) -> bytes:
+        """Returns the metrics of the process."""
+        return self._metrics.render(self.clock.read_monotonic())
+
+    def table(self, name: str) -> blackboard.Table:
+        """Returns a table of the blackboard."""
+        return self.board.find_table(name)
+
+
+class _Branch:
+    """A node of the tree of resources."""
+
+
+class _Resource:
+    exposed = True
+    __slots__ = ("_build", "_content_type")
+
+    def __init__(
+        self,
+        build: collections.abc.Callable[[], bytes],
+        content_type: str = _JSON,
+    ):
+        self._build = build
+        self._content_type = content_type
+
+    def GET(self) -> bytes:  # noqa: N802 (cherrypy's name)
+        """Answers with the page."""
+        # cherrypy's dispatcher takes HEAD here as well.
+        if cherrypy.request.method != "GET":
+            cherrypy.response.headers["Allow"] = "GET"
+            raise cherrypy.HTTPError(405, "only GET is allowed")
+        return servers.respond(200, self._build(), self._content_type)
+
+
+def _build_tree(transport: AdministrationTransport) -> _Branch:
+    root = _Branch()
+    root.v1 = _Branch()
+    root.metrics = _Resource(transport.render_metrics, _METRICS)
+    for name, page in PAGES.list_items():
+        setattr(root.v1, name, _Resource(_bind_page(transport, page)))
+    return root
+
+
+def _bind_page(
+    transport: AdministrationTransport, page: Page
+) -> collections.abc.Callable[[], bytes]:
+    def build() -> bytes:
+        return documents.encode_document(pages.describe(page(transport)))
+
+    return build
+
+
+@PAGES.register("state")
+def show_state(transport: AdministrationTransport) -> dict[str, typing.Any]:
+    """Shows the phase, the lease, the revision and sizes of sections."""
+    now = transport.clock.read_monotonic()
+    lease = transport.table("lease").get("current")
+    entry = transport.table("declaration").get("in_force")
+    settings = transport.settings
+    return {
+        "host": settings.host,
+        "data_centre": settings.data_centre,
+        "incarnation": settings.incarnation,
+        "now": now,
+        "lifecycle": transport.table("lifecycle").get("current"),
+        "lease": lease,
+        "lease_held": lease is not None and now < lease.expires_at,
+        "revision": entry.declaration.revision if entry else None,
+        "digest": entry.declaration.digest if entry else None,
+        "counts": {
+            name: len(transport.table(name))
+            for name, kind, _ in sections.SECTIONS
+            if kind == sections.TABLE
+        },
+    }
+
+
+@PAGES.register("configuration")
+def show_configuration(
+    transport: AdministrationTransport,
+) -> dict[str, typing.Any]:
+    """Shows the configuration in force and what was refused."""
+    found = transport.table("declaration").copy_records()
+    entry = found.pop("in_force", None)
+    shown: dict[str, typing.Any] = {"in_force": None, "refused": None}
+    if entry is not None:
+        declaration = entry.declaration
+        fields = {n: getattr(declaration, n) for n in declaration.__slots__}
+        # A large fleet's targets have a page of their own.
+        fields["targets"] = len(fields["targets"])
+        fields["targets_out"] = [
+            target.name for target in declaration.targets.values() if target.out
+        ]
+        shown["in_force"] = fields | {
+            "source": entry.source,
+            "in_force_at": entry.in_force_at,
+            "part_bytes": entry.parts,
+        }
+    return shown | {"now": transport.clock.read_monotonic()} | found
+
+
+@PAGES.register("targets")
+def show_targets(transport: AdministrationTransport) -> dict[str, typing.Any]:
+    """Shows what this host believes of each target."""
+    return _show_rows(transport, "targets")
+
+
+@PAGES.register("members")
+def show_members(transport: AdministrationTransport) -> dict[str, typing.Any]:
+    """Shows what this host believes of each host."""
+    return _show_rows(transport, "members")
+
+
+@PAGES.register("decisions")
+def show_decisions(
+    transport: AdministrationTransport,
+) -> dict[str, typing.Any]:
+    """Shows recent routing and placement decisions, oldest first."""
+    current = transport.table("instruments").get("current")
+    return {"decisions": current.decisions.list_entries() if current else []}
+
+
+def _show_rows(
+    transport: AdministrationTransport, section: str
+) -> dict[str, typing.Any]:
+    return {
+        "now": transport.clock.read_monotonic(),
+        section: transport.table(section).list_records(),
+    }
--- a/src/bramleyfork/transports/callers.py
+++ b/src/bramleyfork/transports/callers.py
@@ -18,6 +18,7 @@
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import placement
 from bramleyfork.decisions import tickets
+from bramleyfork.transports import metrics
 from bramleyfork.transports import servers
 
 _LOG = logging.getLogger(__name__)
@@ -53,6 +54,7 @@
         self._waiters: dict[str, Waiter] = {}
         self._numbers = itertools.count(1)
         self._ticket_numbers = itertools.count(1)
+        self.metrics = metrics.QueryMetrics()
         self._stopping = threading.Event()
         self._server: servers.Server | None = None
         self._threads: list[threading.Thread] = []
@@ -174,8 +176,13 @@
 
     def POST(self, **unused: str) -> bytes:  # noqa: N802 (cherrypy's name)
         """Answers a query."""
-        answer = self._answer(servers.find_ready_time())
-        lifecycle = self._transport.find_lifecycle()
+        transport = self._transport
+        received_at = servers.find_ready_time()
+        answer = self._answer(received_at)
+        transport.metrics.observe(
+            answer, transport.clock.read_monotonic() - received_at
+        )
+        lifecycle = transport.find_lifecycle()
         if lifecycle is not None and lifecycle.phase in ("leaving", "stopped"):
             servers.close_after_answer()
         return servers.respond(
