Add the tool with show, place and query

Cause: operators had no command to look at a host or to try a query. Change: flags and output formats around a registry of commands; HTTP calls that never repeat a request and say whether it may have run. Before: no tool. Conclusion: other commands register in commands.registry.

--- /dev/null
+++ b/src/bramleyfork/commands/clients.py
@@ -0,0 +1,87 @@
+"""HTTP calls to a host."""
+
+import json
+import typing
+
+import expression
+import urllib3
+
+from bramleyfork.core import records
+from bramleyfork.core import verdicts
+
+_CONNECT_S = 2.0
+
+
+class Reply(records.Record):
+    """What a host answered.
+
+    Attributes:
+      status: HTTP status.
+      document: Its JSON body.
+    """
+
+    __slots__ = ("status", "document")
+
+    def __init__(self, *, status: int, document: typing.Any):
+        self.status = status
+        self.document = document
+
+
+class Unreachable(records.Record):
+    """Why a host gave no answer.
+
+    Attributes:
+      verdict: Whether the request may have run.
+      detail: Explanation for people.
+    """
+
+    __slots__ = ("verdict", "detail")
+
+    def __init__(self, *, verdict: verdicts.Verdict, detail: str):
+        self.verdict = verdict
+        self.detail = detail
+
+
+def fetch(
+    method: str,
+    address: str,
+    path: str,
+    *,
+    fields: dict[str, str] | None = None,
+    document: typing.Any = None,
+    timeout_s: float = 5.0,
+) -> expression.Result[Reply, Unreachable]:
+    """Returns a host's answer, or why there is none; never asks twice.
+
+    Args:
+      method: HTTP method.
+      address: address:port of the host.
+      path: Path to ask for.
+      fields: Fields of the query string.
+      document: JSON body.
+      timeout_s: How long to wait for the answer, seconds.
+    """
+    body = None if document is None else json.dumps(document).encode("utf-8")
+    options = {"fields": fields} if fields else {"body": body}
+    timeout = urllib3.Timeout(connect=_CONNECT_S, read=timeout_s)
+    try:
+        with urllib3.PoolManager(retries=False, timeout=timeout) as pool:
+            answer = pool.request(method, f"http://{address}{path}", **options)
+            return expression.Ok(
+                Reply(status=answer.status, document=answer.json())
+            )
+    except (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+        urllib3.exceptions.LocationValueError,
+    ) as error:
+        return _fail(verdicts.Verdict.NOT_RUN, address, error)
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        return _fail(verdicts.Verdict.MAY_HAVE_RUN, address, error)
+
+
+def _fail(
+    verdict: verdicts.Verdict, address: str, error: Exception
+) -> expression.Result[Reply, Unreachable]:
+    detail = f"no answer from {address!r}: {error}"
+    return expression.Error(Unreachable(verdict=verdict, detail=detail))
--- /dev/null
+++ b/src/bramleyfork/commands/hosts.py
@@ -0,0 +1,269 @@
+"""Commands that ask a running host."""
+
+import collections.abc
+import typing
+
+from bramleyfork.commands import clients
+from bramleyfork.commands import registry
+from bramleyfork.core import registries
+from bramleyfork.core import verdicts
+
+_GRACE_S = 1.0  # Beyond the deadline; a host answers 0.1 s after it.
+
+Row = dict[str, typing.Any]
+PageReader = collections.abc.Callable[[typing.Any], list[Row]]
+PAGES: registries.Registry[PageReader] = registries.Registry(kind="page")
+
+
+@registry.COMMANDS.register("show")
+def show_page(
+    arguments: list[str], options: registry.Options
+) -> registry.Result:
+    """Shows a host's view: show state|configuration|targets|members|decisions.
+
+    Example: bramleyfork show targets --administration 127.0.1.1:8081
+    """
+    if len(arguments) != 1 or arguments[0] not in PAGES.list_names():
+        valid = "|".join(PAGES.list_names())
+        return _report_usage(f"show {valid}", arguments)
+    if not options.administration:
+        return _report_missing("administration")
+    page = arguments[0]
+    fetched = clients.fetch("GET", options.administration, f"/v1/{page}")
+    if fetched.is_error():
+        return _report_unreachable(fetched.error, "administration")
+    if fetched.ok.status != 200:
+        return _report_refusal(fetched.ok)
+    return registry.Result(
+        exit_code=registry.EXIT_OK,
+        rows=PAGES.find(page)(fetched.ok.document),
+        message="",
+    )
+
+
+@registry.COMMANDS.register("place")
+def place(arguments: list[str], options: registry.Options) -> registry.Result:
+    """Asks which hosts to use, best first: place.
+
+    Example: bramleyfork place --caller 127.0.1.1:8080 --tickets 1
+    """
+    if arguments:
+        return _report_usage("place", arguments)
+    if not options.caller:
+        return _report_missing("caller")
+    fields = {"tickets": str(options.tickets)}
+    if options.data_centre is not None:
+        fields["data_centre"] = options.data_centre
+    fetched = clients.fetch(
+        "GET", options.caller, "/v1/placement", fields=fields
+    )
+    if fetched.is_error():
+        return _report_unreachable(fetched.error, "caller")
+    if fetched.ok.status != 200:
+        return _report_refusal(fetched.ok)
+    document = fetched.ok.document
+    hosts, tickets = document["hosts"], document["tickets"]
+    # The tickets are the first host's.
+    rows = [
+        host | {"tickets": [] if number else tickets}
+        for number, host in enumerate(hosts)
+    ]
+    message = f"valid for {document['lifetime_ms']} ms"
+    if len(tickets) < options.tickets:
+        return registry.Result(
+            exit_code=registry.EXIT_REFUSED,
+            rows=rows,
+            message=f"{message}; no tickets from this host: ask"
+            f" {hosts[0]['address']}, which is listed first",
+        )
+    return registry.Result(
+        exit_code=registry.EXIT_OK, rows=rows, message=message
+    )
+
+
+@registry.COMMANDS.register("query")
+def query(arguments: list[str], options: registry.Options) -> registry.Result:
+    """Sends a query: query LOOKUP.
+
+    Example: bramleyfork query availability --caller 127.0.1.1:8080
+    --parameters date=2026-12-05 --deadline_ms 400
+    """
+    if len(arguments) != 1:
+        return _report_usage("query LOOKUP", arguments)
+    if not options.caller:
+        return _report_missing("caller")
+    document: Row = {
+        "lookup": arguments[0],
+        "deadline_ms": options.deadline_ms,
+        "parameters": options.parameters,
+    }
+    if options.key is not None:
+        document["key"] = options.key
+    if options.ticket is not None:
+        document["ticket"] = options.ticket
+    fetched = clients.fetch(
+        "POST",
+        options.caller,
+        "/v1/query",
+        document=document,
+        timeout_s=options.deadline_ms / 1000 + _GRACE_S,
+    )
+    if fetched.is_error():
+        return _report_unreachable(fetched.error, "caller")
+    answer = fetched.ok.document
+    if answer.get("code") != "ok":
+        return _report_refusal(fetched.ok)
+    return registry.Result(
+        exit_code=registry.EXIT_OK,
+        rows=_list_records(answer),
+        message=_summarise(answer),
+    )
+
+
+def _list_records(answer: Row) -> list[Row]:
+    return [
+        {"service": service, "key": key, "value": value}
+        for service, key, value in answer.get("records", [])
+    ]
+
+
+def _summarise(answer: Row) -> str:
+    return (
+        f"{answer['code']} ({answer['verdict']}): snapshot"
+        f" {answer['snapshot']}, coverage {answer['coverage']:.4f},"
+        f" missing {answer['missing']}"
+    )
+
+
+@PAGES.register("state")
+@PAGES.register("configuration")
+def list_fields(document: Row) -> list[Row]:
+    """Returns one row per field; a nested object's fields by dotted name."""
+    rows = []
+    for name, value in document.items():
+        if isinstance(value, dict) and value:
+            rows.extend(
+                {"field": f"{name}.{row['field']}", "value": row["value"]}
+                for row in list_fields(value)
+            )
+        else:
+            rows.append({"field": name, "value": value})
+    return rows
+
+
+@PAGES.register("targets")
+def list_targets(document: Row) -> list[Row]:
+    """Returns one row per target."""
+    return _list_section(document, "targets", ("heard_at",))
+
+
+@PAGES.register("members")
+def list_members(document: Row) -> list[Row]:
+    """Returns one row per host."""
+    return _list_section(document, "members", ("changed_at",))
+
+
+def _list_section(
+    document: Row, section: str, times: tuple[str, ...]
+) -> list[Row]:
+    """Returns rows with points in time replaced by ages, seconds."""
+    rows = []
+    for record in document[section]:
+        row = dict(record)
+        for name in times:
+            at = row.pop(name)
+            age = None if at is None else round(document["now"] - at, 1)
+            row[f"{name.removesuffix('_at')}_s_ago"] = age
+        rows.append(row)
+    return rows
+
+
+@PAGES.register("decisions")
+def list_decisions(document: Row) -> list[Row]:
+    """Returns one row per decision, with what is special to it in one field."""
+    common = ("time", "message")
+    return [
+        {name: entry.get(name) for name in common}
+        | {
+            "detail": {
+                name: value
+                for name, value in entry.items()
+                if name not in (*common, "level", "logger")
+            }
+        }
+        for entry in document["decisions"]
+    ]
+
+
+def _report_usage(usage: str, arguments: list[str]) -> registry.Result:
+    given = " ".join(arguments)
+    return registry.Result(
+        exit_code=registry.EXIT_USAGE,
+        rows=[],
+        message=f"usage: bramleyfork {usage}; got arguments {given!r}",
+    )
+
+
+def _report_missing(flag: str) -> registry.Result:
+    return registry.Result(
+        exit_code=registry.EXIT_USAGE,
+        rows=[],
+        message=f"--{flag} is required; give the {flag} address of a host,"
+        f" for instance --{flag} 127.0.1.1:8080",
+    )
+
+
+def _report_unreachable(
+    unreachable: clients.Unreachable, flag: str
+) -> registry.Result:
+    advice = f"check --{flag} and that the host runs, or ask another host"
+    if unreachable.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+        advice = (
+            "the request may have run; repeat it only if that is harmless,"
+            " else check its effect first"
+        )
+    return registry.Result(
+        exit_code=registry.EXIT_UNREACHABLE,
+        rows=[],
+        message=f"{unreachable.detail}; {advice}",
+    )
+
+
+_ADVICE = {
+    "bad_ticket": "get a ticket with: place --tickets 1",
+    "ticket_required": "get a ticket with: place --tickets 1",
+    "ticket_used": "check the effect of the first use before a new ticket",
+    "ticket_foreign": "send it to the host that issued the ticket",
+    "no_hosts": "ask another host; this one knows of none that may take work",
+    "unknown_lookup": "see the lookups with: show configuration",
+    "partial": "see the missing ranges; repeat if the query is idempotent",
+}
+
+
+def _report_refusal(reply: clients.Reply) -> registry.Result:
+    """Reports an answer that is refused or incomplete, and what to do."""
+    answer = reply.document if isinstance(reply.document, dict) else {}
+    code = answer.get("code", "unknown")
+    advice = _ADVICE.get(code)
+    if advice is None:
+        advice = _advise_by_verdict(answer)
+    parts = [f"status {reply.status}, code {code!r}"]
+    if code == "partial":
+        parts.append(_summarise(answer))
+    if answer.get("detail"):
+        parts.append(answer["detail"])
+    if answer.get("retry_after_ms"):
+        parts.append(f"come back after {answer['retry_after_ms']} ms")
+    if answer.get("hosts"):
+        parts.append(f"other hosts: {', '.join(answer['hosts'])}")
+    return registry.Result(
+        exit_code=registry.EXIT_REFUSED,
+        rows=_list_records(answer),
+        message="; ".join([*parts, advice]),
+    )
+
+
+def _advise_by_verdict(answer: Row) -> str:
+    if answer.get("verdict") == "MAY_HAVE_RUN":
+        return "it may have run; repeat it only if that is harmless"
+    return "it did not run; correct the request or repeat it later"
--- /dev/null
+++ b/src/bramleyfork/tool.py
@@ -0,0 +1,163 @@
+"""The operators' tool ``bramleyfork``."""
+
+import inspect
+import json
+import sys
+import typing
+
+from absl import flags
+
+from bramleyfork.commands import catalogue
+from bramleyfork.commands import registry
+from bramleyfork.core import registries
+
+Row = dict[str, typing.Any]
+Formatter = typing.Callable[[registry.Result], str]
+FORMATTERS: registries.Registry[Formatter] = registries.Registry(
+    kind="output format"
+)
+
+_CELL_LIMIT = 100  # Characters of a cell in a table; json has all of it.
+_HELP_NAMES = ("help", "--help", "-h")
+
+_USAGE = """\
+usage: bramleyfork COMMAND [ARGUMENTS] [FLAGS]
+
+commands:
+{commands}
+
+flags:
+{flags}
+
+exit codes:
+  0  done
+  1  refused, or the answer is incomplete
+  2  wrong usage
+  3  the host could not be reached or gave no answer
+
+examples:
+  bramleyfork show state --administration 127.0.1.1:8081
+  bramleyfork place --caller 127.0.1.1:8080 --data_centre bilbao
+  bramleyfork query availability --caller 127.0.1.1:8080 --deadline_ms 400
+  bramleyfork check examples/torno-norte
+"""
+
+
+def define_flags() -> flags.FlagValues:
+    """Returns the flags of the tool, apart from those of other programs."""
+    values = flags.FlagValues()
+    values.set_gnu_getopt(True)  # Flags may follow the command.
+    common = {"flag_values": values}
+    flags.DEFINE_enum(
+        "output", "table", FORMATTERS.list_names(), "Form of output.", **common
+    )
+    flags.DEFINE_string(
+        "administration", "", "Administration address of a host.", **common
+    )
+    flags.DEFINE_string("caller", "", "Caller address of a host.", **common)
+    flags.DEFINE_integer(
+        "deadline_ms",
+        1000,
+        "Deadline of a query, milliseconds.",
+        lower_bound=1,
+        **common,
+    )
+    flags.DEFINE_string("parameters", "", "Parameters of a query.", **common)
+    flags.DEFINE_integer("key", None, "Key of a keyed lookup.", **common)
+    flags.DEFINE_string(
+        "ticket", None, "Ticket of a lookup that is not idempotent.", **common
+    )
+    flags.DEFINE_string(
+        "data_centre", None, "Data centre of the caller.", **common
+    )
+    flags.DEFINE_integer(
+        "tickets", 0, "Number of tickets to ask for.", lower_bound=0, **common
+    )
+    return values
+
+
+def main(argv: list[str]) -> int:
+    """Runs one command; returns the exit code.
+
+    Args:
+      argv: Name of the program, command, arguments and flags.
+    """
+    catalogue.load()
+    values = define_flags()
+    if len(argv) < 2 or any(name in argv for name in _HELP_NAMES):
+        sys.stdout.write(build_help(values))
+        return registry.EXIT_USAGE if len(argv) < 2 else registry.EXIT_OK
+    try:
+        _, *positional = values(argv)
+        command = registry.COMMANDS.find(positional[0] if positional else "")
+    except (flags.Error, registries.UnknownNameError) as error:
+        sys.stderr.write(f"bramleyfork: {error}; see: bramleyfork --help\n")
+        return registry.EXIT_USAGE
+    options = registry.Options(
+        **{name: values[name].value for name in registry.Options.__slots__}
+    )
+    result = command(positional[1:], options)
+    sys.stdout.write(FORMATTERS.find(options.output)(result))
+    if result.message and options.output != "json":
+        stream = sys.stderr if result.exit_code else sys.stdout
+        stream.write(f"{result.message}\n")
+    return result.exit_code
+
+
+def build_help(values: flags.FlagValues) -> str:
+    """Returns the help text with all commands and flags."""
+    commands = []
+    for name, command in registry.COMMANDS.list_items():
+        lines = inspect.cleandoc(command.__doc__ or "").splitlines()
+        commands.append(f"  {name:18}{lines[0] if lines else ''}")
+    rows = [
+        f"  --{name:16}{values[name].help} (default: {values[name].value})"
+        for name in registry.Options.__slots__
+    ]
+    return _USAGE.format(commands="\n".join(commands), flags="\n".join(rows))
+
+
+@FORMATTERS.register("json")
+def format_json(result: registry.Result) -> str:
+    """Returns rows and message as one JSON object."""
+    document = {"message": result.message, "rows": result.rows}
+    return json.dumps(document, indent=2, default=str) + "\n"
+
+
+@FORMATTERS.register("table")
+def format_table(result: registry.Result) -> str:
+    """Returns rows in aligned columns; long cells are cut off."""
+    if not result.rows:
+        return ""
+    names = list(result.rows[0])
+    lines = [names] + [
+        [_format_cell(row.get(name)) for name in names] for row in result.rows
+    ]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*lines, strict=True)
+    ]
+    return "".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        + "\n"
+        for line in lines
+    )
+
+
+def _format_cell(value: typing.Any) -> str:
+    if value is None:
+        return "-"
+    text = value if isinstance(value, str) else json.dumps(value, default=str)
+    if len(text) > _CELL_LIMIT:
+        return text[: _CELL_LIMIT - 3] + "..."
+    return text
+
+
+def run() -> None:
+    """Entry point of the installed program."""
+    sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
