--- a/src/bramleyfork/daemon.py
+++ b/src/bramleyfork/daemon.py
@@ -7,17 +7,19 @@
 from absl import app
 from absl import flags
 
+from bramleyfork import controllers as controller_package
+from bramleyfork import transports as transport_package
 from bramleyfork.configuration import settings as settings_module
-from bramleyfork.controllers import catalogue as controller_catalogue
 from bramleyfork.core import blackboard
+from bramleyfork.core import catalogues
 from bramleyfork.core import clocks
 from bramleyfork.core import controllers
 from bramleyfork.core import fleet
+from bramleyfork.core import instruments
 from bramleyfork.core import logs
 from bramleyfork.core import loops
 from bramleyfork.core import sections
 from bramleyfork.core import transports
-from bramleyfork.transports import catalogue as transport_catalogue
 
 _SETTINGS = flags.DEFINE_string(
     "settings", None, "TOML file with the settings of this host."
@@ -81,7 +83,12 @@
             )
             for name in (controllers.REQUEST_LOOP, controllers.CONTROL_LOOP)
         ]
-        del recent
+        self.board.grant_writer("instruments", "process").put(
+            "current",
+            instruments.collect_instruments(
+                recent, [*members, *self._transports]
+            ),
+        )
 
     def start(self) -> None:
         """Starts loops, then transports."""
@@ -125,15 +132,15 @@
     loaded = settings_module.load_settings(_SETTINGS.value)
     if loaded.is_error():
         for fault in loaded.error:
-            print(f"bramleyforkd: {fault}", file=sys.stderr)  # noqa: T201
+            print(f"bramleyforkd: {fault.describe()}", file=sys.stderr)  # noqa: T201
         return _EXIT_SETTINGS
     settings = loaded.ok
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
     recent = logs.set_up_logging(
         level=settings.log_level, stream=sys.stderr, host=settings.host
     )
-    controller_catalogue.load()
-    transport_catalogue.load()
+    catalogues.load_modules(controller_package)
+    catalogues.load_modules(transport_package)
     daemon = Daemon(
         settings=settings, recent=recent, clock=clocks.SystemClock()
     )
