Wait for shares before serving; plan with holdings of the list

Holdings from the platform's list were ignored for targets never heard of, and hosts were ready 5 s before they might use their shares.

--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -1,5 +1,6 @@
 """What a router knows of targets and their owners."""
 
+import math
 import random
 
 from bramleyfork.core import declarations
@@ -242,7 +243,7 @@
                 continue
             if status.state != "usable":
                 continue
-            seen_at, holdings = self._fresh.get(name, (0.0, ()))
+            seen_at, holdings = self._fresh.get(name, (-math.inf, ()))
             if status.heard_at >= seen_at:
                 holdings = status.holdings
             collected[target.service][name] = holdings
--- a/src/bramleyfork/controllers/lifecycle.py
+++ b/src/bramleyfork/controllers/lifecycle.py
@@ -5,6 +5,7 @@
 from bramleyfork.core import controllers
 from bramleyfork.core import fleet
 from bramleyfork.decisions import drain
+from bramleyfork.decisions import shares
 
 _LOG = logging.getLogger(__name__)
 
@@ -21,7 +22,11 @@
 class LifecycleController(controllers.Controller):
     """Writes fleet.Lifecycle under the key "current"."""
 
-    __slots__ = ()
+    __slots__ = ("_serving_at",)
+
+    def start(self) -> None:
+        """Sets up state before the first step."""
+        self._serving_at: float | None = None
 
     def step(self, now: float) -> float | None:
         """Moves to the next phase when its condition holds."""
@@ -31,13 +36,24 @@
         signals = [s for s in self.take("signals") if s.kind == "terminate"]
         if signals and current.phase in ("starting", "serving"):
             current = self._enter("leaving", now, "asked to terminate")
-        entry = self.table("declaration").get("in_force")
-        if current.phase == "starting" and entry is not None:
-            current = self._enter("serving", now, "a configuration is in force")
+        if current.phase == "starting":
+            return self._start_serving(now)
         if current.phase == "leaving":
             return self._drain(now, current.since)
         return None
 
+    def _start_serving(self, now: float) -> float | None:
+        """Serves once this host may use its shares of the targets."""
+        entry = self.table("declaration").get("in_force")
+        if entry is None:
+            return None
+        if self._serving_at is None:
+            self._serving_at = now + shares.GAIN_DELAY_S
+        if now < self._serving_at:
+            return self._serving_at
+        self._enter("serving", now, "configuration and shares are in force")
+        return None
+
     def _drain(self, now: float, since: float) -> float | None:
         lifetime_s, longest_s = self._find_spans()
         in_flight = drain.count_in_flight(
--- a/src/bramleyfork/daemon.py
+++ b/src/bramleyfork/daemon.py
@@ -28,7 +28,7 @@
 # A thread that holds the interpreter gives it up after this time if another
 # one waits. With the default of 5 ms a sub-request waited that long at each
 # change of thread.
-_SWITCH_INTERVAL_S = 0.0005
+_SWITCH_INTERVAL_S = 0.002
 
 _EXIT_OK = 0
 _EXIT_SETTINGS = 2
