Refuse requests beyond the waiting room in JSON

Cause: cheroot answers a full queue with plain text, so a caller could not tell that its query had not run; and CherryPy's default tools took time. Change: the accepting thread answers 503 with code overloaded and NOT_RUN after reading what has arrived; three default tools that do nothing here are off; the JSON encoder is built once.

--- a/src/bramleyfork/codecs/documents.py
+++ b/src/bramleyfork/codecs/documents.py
@@ -18,6 +18,9 @@
 _NAME_LIMIT = 200  # Characters of a lookup's name.
 _TICKET_LIMIT = 1000  # Characters; issued tickets are far shorter.
 
+# json.dumps would build an encoder for each call with separators.
+_ENCODER = json.JSONEncoder(separators=(",", ":"))
+
 _STATUS_BY_CODE = {
     "ok": 200,
     "partial": 200,
@@ -236,7 +239,7 @@
 
 def encode_document(document: typing.Any) -> bytes:
     """Returns a document as compact JSON in UTF-8."""
-    return json.dumps(document, separators=(",", ":")).encode("utf-8")
+    return _ENCODER.encode(document).encode("utf-8")
 
 
 def find_status(code: str, verdict: verdicts.Verdict) -> int:
--- a/src/bramleyfork/transports/administration.py
+++ b/src/bramleyfork/transports/administration.py
@@ -47,6 +47,7 @@
             root=_build_tree(self),
             threads=_THREADS,
             clock=self.clock,
+            overload_body=documents.encode_document({"code": "overloaded"}),
         )
         self._thread = servers.start_server(self._server, "administration")
 
--- a/src/bramleyfork/transports/callers.py
+++ b/src/bramleyfork/transports/callers.py
@@ -71,6 +71,11 @@
             root=_build_tree(self),
             threads=self.settings.caller_threads,
             clock=self.clock,
+            overload_body=documents.encode_answer(
+                build_refusal(
+                    "", "overloaded", "too many requests wait on this host"
+                )
+            ),
         )
         reader = threading.Thread(
             target=self._distribute, name="answers", daemon=True
--- a/src/bramleyfork/transports/servers.py
+++ b/src/bramleyfork/transports/servers.py
@@ -1,7 +1,9 @@
 """CherryPy applications on cheroot servers without CherryPy's engine."""
 
+import contextlib
 import io
 import json
+import queue
 import socket
 import threading
 import time
@@ -88,6 +90,7 @@
     keep_alive_conn_limit = _IDLE_CONNECTIONS
     max_request_header_size = _HEAD_LIMIT
     clock: clocks.Clock
+    overload_body = b"{}"
 
     def process_conn(self, conn: typing.Any) -> None:
         """Queues a connection that has data to read.
@@ -103,11 +106,37 @@
                 conn.close()
             return
         conn.ready_at = self.clock.read_monotonic()
-        super().process_conn(conn)
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            self._refuse(conn)
+
+    def _refuse(self, conn: typing.Any) -> None:
+        """Answers 503 from the accepting thread, without waiting.
+
+        What has arrived is read first, as closing a socket with unread data
+        resets the connection before the peer has seen the answer.
+        """
+        head = (
+            "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(self.overload_body)}\r\n\r\n"
+        )
+        with contextlib.suppress(OSError):
+            conn.socket.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                conn.socket.recv(_HEAD_LIMIT + io.DEFAULT_BUFFER_SIZE)
+            conn.socket.send(head.encode("ascii") + self.overload_body)
+        conn.close()
 
 
 def build_server(
-    *, address: str, root: typing.Any, threads: int, clock: clocks.Clock
+    *,
+    address: str,
+    root: typing.Any,
+    threads: int,
+    clock: clocks.Clock,
+    overload_body: bytes,
 ) -> Server:
     """Returns a server for the resources under ``root``.
 
@@ -116,6 +145,7 @@
       root: Tree of resources for cherrypy's method dispatcher.
       threads: Requests served at once.
       clock: Source of monotonic time.
+      overload_body: JSON that a request gets when too many wait.
     """
     name, _, port = address.rpartition(":")
     server = Server(
@@ -130,6 +160,7 @@
     )
     server.gateway = _Gateway
     server.clock = clock
+    server.overload_body = overload_body
     return server
 
 
@@ -144,6 +175,10 @@
                 "request.dispatch": cherrypy.dispatch.MethodDispatcher(),
                 "request.process_request_body": False,
                 "request.show_tracebacks": False,
+                # On by default; bodies here are bytes and paths are exact.
+                "tools.encode.on": False,
+                "tools.log_headers.on": False,
+                "tools.trailing_slash.on": False,
                 "error_page.default": _encode_error,
             }
         },
--- a/tests/transports/test_callers.py
+++ b/tests/transports/test_callers.py
@@ -1,5 +1,6 @@
 import json
 import math
+import queue
 import socket
 import threading
 
@@ -22,6 +23,7 @@
         self.fed = fed
         self.transport = transport
         self.queries = fed.board.find_log("queries").open_cursor()
+        self.finished = queue.Queue()
         self._pool = urllib3.PoolManager(retries=False)
 
     def request(self, method, path, **options):
@@ -35,13 +37,15 @@
             body = json.dumps(body).encode()
         return self.request("POST", "/v1/query", body=body, **options)[:2]
 
-    def ask_later(self, parameters):
+    def ask_later(self, parameters, deadline_ms=1500):
         result = []
-        thread = threading.Thread(
-            target=lambda: result.append(
-                self.ask(VALID | {"parameters": parameters})
-            )
-        )
+        body = VALID | {"parameters": parameters, "deadline_ms": deadline_ms}
+
+        def ask():
+            result.append(self.ask(body))
+            self.finished.put(result[0])
+
+        thread = threading.Thread(target=ask)
         thread.start()
         return thread, result
 
@@ -151,6 +155,27 @@
         thread.join(5)
 
 
+def test_requests_beyond_the_waiting_room_are_refused(client):
+    # Guards against a refusal that does not say that nothing ran.
+    entry = boards.create_entry(longest_deadline_s=30.0)
+    client.fed.put("declaration", "in_force", entry)
+    asked = [client.ask_later("blocked", 30_000) for _ in range(4)]
+    taken = [client.queries.wait_for_one(5) for _ in asked]
+    asked += [client.ask_later("waiting", 30_000) for _ in range(20)]
+    refused = [client.finished.get(timeout=5) for _ in range(12)]
+    assert {status for status, _ in refused} == {503}
+    for _, document in refused:
+        assert document["code"] == "overloaded"
+        assert document["verdict"] == "NOT_RUN"
+    for query in taken:
+        client.answer(query)
+    for _ in range(8):  # Two places for each of the four threads.
+        client.answer(client.queries.wait_for_one(5))
+    for thread, result in asked:
+        thread.join(5)
+        assert result
+
+
 def test_host_without_configuration_refuses(client):
     client.fed.remove("declaration", "in_force")
     status, document = client.ask()
