Keep the ticket key out of the settings' equality and readable form

Change: the key is a field of a base class and is made on construction. Conclusion: settings and their options correspond one to one again.

--- a/src/bramleyfork/configuration/settings.py
+++ b/src/bramleyfork/configuration/settings.py
@@ -4,10 +4,25 @@
 
 from bramleyfork.core import records
 
+_TICKET_KEY_BYTES = 16
 
-class Settings(records.Record):
+
+class _ProcessSecret(records.Record):
+    """Holds what is made once per process and is no setting.
+
+    A field of a base class takes no part in equality and in the readable form,
+    so that the key does not get into logs.
+    """
+
+    __slots__ = ("ticket_key",)
+
+
+class Settings(_ProcessSecret):
     """Checked settings of a daemon.
 
+    ``ticket_key`` signs the tickets of this process. It is random and set on
+    construction; a copy has another one.
+
     Attributes:
       deployment: Name of the deployment; hosts of another one are
         refused.
@@ -23,7 +38,6 @@
       target_threads: Attempts in flight at once.
       log_level: Lowest level of logs written.
       cut_file: For tests: file naming peers to cut off.
-      ticket_key: Signs this process's tickets; random for each process.
     """
 
     __slots__ = (
@@ -40,7 +54,6 @@
         "target_threads",
         "log_level",
         "cut_file",
-        "ticket_key",
     )
 
     def __init__(
@@ -59,7 +72,6 @@
         target_threads: int = 64,
         log_level: str = "INFO",
         cut_file: str | None = None,
-        ticket_key: bytes | None = None,
     ):
         self.deployment = deployment
         self.host = host
@@ -74,4 +86,4 @@
         self.target_threads = target_threads
         self.log_level = log_level
         self.cut_file = cut_file
-        self.ticket_key = ticket_key or secrets.token_bytes(16)
+        self.ticket_key = secrets.token_bytes(_TICKET_KEY_BYTES)
