--- a/src/bramleyfork/configuration/settings.py
+++ b/src/bramleyfork/configuration/settings.py
@@ -86,9 +86,25 @@
 )
 
 
-class Settings(records.Record):
+_TICKET_KEY_BYTES = 16
+
+
+class _ProcessSecret(records.Record):
+    """Holds what is made once per process and is no setting.
+
+    A field of a base class takes no part in equality and in the readable form,
+    so that the key does not get into logs.
+    """
+
+    __slots__ = ("ticket_key",)
+
+
+class Settings(_ProcessSecret):
     """Checked settings of a daemon.
 
+    ``ticket_key`` signs the tickets of this process. It is random and set on
+    construction; a copy has another one.
+
     Attributes:
       deployment: Name of the deployment; hosts of another one are
         refused.
@@ -104,7 +120,6 @@
       target_threads: Attempts in flight at once.
       log_level: Lowest level of logs written.
       cut_file: For tests: file naming peers to cut off.
-      ticket_key: Signs this process's tickets; random for each process.
     """
 
     __slots__ = (
@@ -121,7 +136,6 @@
         "target_threads",
         "log_level",
         "cut_file",
-        "ticket_key",
     )
 
     def __init__(
@@ -140,7 +154,6 @@
         target_threads: int = 64,
         log_level: str = "INFO",
         cut_file: str | None = None,
-        ticket_key: bytes | None = None,
     ):
         self.deployment = deployment
         self.host = host
@@ -155,7 +168,7 @@
         self.target_threads = target_threads
         self.log_level = log_level
         self.cut_file = cut_file
-        self.ticket_key = ticket_key or secrets.token_bytes(16)
+        self.ticket_key = secrets.token_bytes(_TICKET_KEY_BYTES)
 
 
 def load_settings(
