--- a/src/bramleyfork/transports/platform.py
+++ b/src/bramleyfork/transports/platform.py
@@ -88,14 +88,17 @@
         """Starts the thread."""
         self._thread.start()
 
-    def stop(self, timeout_s: float = 2.0) -> None:
-        """Breaks off a waiting read and ends the thread."""
+    def interrupt(self) -> None:
+        """Breaks off a waiting read; the thread then ends."""
         self._stopped.set()
         if self._socket is not None:
             try:
                 self._socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 _LOG.debug("platform connection was closed already")
+
+    def join(self, timeout_s: float = 2.0) -> None:
+        """Waits for the end of the thread."""
         self._thread.join(timeout_s)
 
     def _run(self) -> None:
@@ -220,7 +223,9 @@
     def stop(self) -> None:
         """Breaks off waiting reads and ends the lanes."""
         for lane in self._lanes:
-            lane.stop()
+            lane.interrupt()
+        for lane in self._lanes:
+            lane.join()
 
     def _connect(self) -> urllib3.connection.HTTPConnection:
         host, _, port = self.settings.platform_address.rpartition(":")
--- a/tests/controllers/test_controllers_configuration.py
+++ b/tests/controllers/test_controllers_configuration.py
@@ -359,11 +359,12 @@
         node = self.nodes[name]
         self.now += 0.1
         if platform_up:
-            node.serve(self.platform, self.now)
+            wake = node.serve(self.platform, self.now)
         else:
             for read in node.reads.take():
                 node.answer(read, self.now, status=0, error="down")
-            node.step(self.now)
+            wake = node.step(self.now)
+        assert wake > self.now  # Guards against a loop that spins.
         for message in node.out.take():
             receivers = (
                 [n for n in self.nodes if n != name]
