--- a/src/bramleyfork/configuration/declared_options.py
+++ b/src/bramleyfork/configuration/declared_options.py
@@ -105,7 +105,7 @@
     tables.Option(
         key="count",
         type="integer",
-        default=0,
+        default=None,
         low=1,
         high=9999,
         purpose="Makes this a template for that many services.",
--- a/src/bramleyfork/transports/platform.py
+++ b/src/bramleyfork/transports/platform.py
@@ -203,20 +203,31 @@
     the controllers pace the reads.
     """
 
-    def start(self) -> None:
-        """Starts the lanes; connections are made with the first reads."""
-        self._writer = self.board.grant_writer("platform_results", self.name)
+    def __init__(
+        self,
+        *,
+        board: blackboard.Blackboard,
+        settings: typing.Any,
+        clock: clocks.Clock,
+    ):
+        super().__init__(board=board, settings=settings, clock=clock)
+        writer = board.grant_writer("platform_results", self.name)
+        # The cursors are opened here, so that reads ordered before the start
+        # are not lost.
         self._lanes = [
             Lane(
                 name=name,
-                cursor=self.board.find_log(section).open_cursor(),
+                cursor=board.find_log(section).open_cursor(),
                 accepts=accepts,
                 connect=self._connect,
-                write=self._writer.append,
-                clock=self.clock,
+                write=writer.append,
+                clock=clock,
             )
             for name, section, accepts in _LANES
         ]
+
+    def start(self) -> None:
+        """Starts the lanes; connections are made with the first reads."""
         for lane in self._lanes:
             lane.start()
 
--- a/tests/transports/test_transports_platform.py
+++ b/tests/transports/test_transports_platform.py
@@ -102,7 +102,6 @@
             ),
             clock=clocks.SystemClock(),
         )
-        self.transport.start()
 
     def order(self, path, *, purpose="configuration", timeout_s=5.0):
         log = self.listing if purpose == "listing" else self.reads
@@ -125,6 +124,7 @@
     def start(answers, address=None):
         server = Server(answers)
         rig = Rig(address or server.address)
+        rig.transport.start()
         ended.extend([rig.transport.stop, server.close])
         return server, rig
 
@@ -144,6 +144,19 @@
     assert server.peers == ["127.0.1.7"]
 
 
+def test_read_ordered_before_the_start_is_done():
+    # Guards against a start that waits 5 s for an answer that never comes.
+    server = Server({"/v1/values/a": create_answer(b"x")})
+    rig = Rig(server.address)
+    rig.order("/v1/values/a")
+    rig.transport.start()
+    try:
+        assert rig.results.wait_for_one(WAIT_S).body == b"x"
+    finally:
+        rig.transport.stop()
+        server.close()
+
+
 def test_connection_closed_between_reads_is_replaced(run):
     answer = create_answer(b"x")
     server, rig = run({"/v1/values/a": answer})
