--- /dev/null
+++ b/tests/controllers/test_controllers_configuration_network.py
@@ -0,0 +1,79 @@
+import configuration_rig
+import hypothesis
+from hypothesis import strategies as st
+
+from bramleyfork.core import messages
+
+
+class Network:
+    """Nodes, a platform and a set order of events, without time-outs."""
+
+    def __init__(self, count):
+        seeds = ("127.0.1.9:7000",)
+        self.nodes = {
+            f"h{n}": configuration_rig.Node(name=f"h{n}", seeds=seeds)
+            for n in range(1, count + 1)
+        }
+        self.platform = {}
+        self.now = 0.0
+
+    def run_one(self, name, *, platform_up, deliver):
+        node = self.nodes[name]
+        self.now += 0.1
+        if platform_up:
+            wake = node.serve(self.platform, self.now)
+        else:
+            for read in node.reads.take():
+                node.answer(read, self.now, status=0, error="down")
+            wake = node.step(self.now)
+        assert wake > self.now  # Guards against a loop that spins.
+        for message in node.out.take():
+            receivers = (
+                [n for n in self.nodes if n != name]
+                if message.to == messages.EVERY_PEER
+                else [message.to]
+            )
+            for receiver in receivers if deliver else ():
+                self.nodes[receiver].receive(name, message, self.now)
+
+    def settle(self):
+        for _ in range(1000):
+            for name in self.nodes:
+                self.run_one(name, platform_up=True, deliver=True)
+
+
+EVENT = st.one_of(
+    st.tuples(st.just("publish"), st.integers(1, 4), st.integers(0, 2)),
+    st.tuples(
+        st.just("run"),
+        st.sampled_from(("h1", "h2", "h3")),
+        st.booleans(),
+        st.booleans(),
+    ),
+)
+
+
+@hypothesis.settings(max_examples=25, deadline=None)
+@hypothesis.given(st.lists(EVENT, min_size=5, max_size=60))
+def test_hosts_only_move_upward_and_agree_in_the_end(events):
+    # H10 under lost messages, an absent platform and two operators.
+    network = Network(3)
+    seen = dict.fromkeys(network.nodes, (0, ""))
+    for kind, *details in [("publish", 1, 0), *events]:
+        if kind == "publish":
+            note = b"%d" % details[1]
+            network.platform = configuration_rig.create_bodies(
+                revision=details[0], note=note
+            )
+        else:
+            name, platform_up, deliver = details
+            network.run_one(name, platform_up=platform_up, deliver=deliver)
+            version = network.nodes[name].read_version()
+            assert version >= seen[name]
+            seen[name] = version
+    network.settle()
+    final = {node.read_version() for node in network.nodes.values()}
+    assert len(final) == 1
+    assert final.pop() >= max(
+        [configuration_rig.find_version(network.platform), *seen.values()]
+    )
