--- a/src/bramleyfork/codecs/formats.py
+++ b/src/bramleyfork/codecs/formats.py
@@ -1,6 +1,7 @@
 """The registries of message formats and the checks that they share."""
 
 import collections.abc
+import functools
 import itertools
 import math
 import typing
@@ -16,7 +17,11 @@
 NONE = type(None)
 
 _COUNT_LIMIT = 2**63  # Numbers stay within a signed 64-bit integer.
+# Segments, snapshots and holdings repeat from message to message, and records
+# are never changed, so that equal ones are shared.
+_SHARED_LIMIT = 4096
 _VALUE_DEPTH = 64  # Python's own recursion limit is 1000 frames.
+_TEXT = frozenset((str,))
 _SCALARS = frozenset((str, int, float, bool, NONE))
 
 Encode = collections.abc.Callable[[typing.Any, float], list]
@@ -133,9 +138,8 @@
 
 def check_texts(values: list) -> tuple[str, ...]:
     """Returns a list that must hold texts only, as a tuple."""
-    for value in values:
-        if type(value) is not str:
-            raise InvalidFieldError(f"{value!r} must be a text")
+    if not _is_all_text(values):
+        raise InvalidFieldError("a list must hold texts only")
     return tuple(values)
 
 
@@ -153,31 +157,35 @@
         return
     if depth > _VALUE_DEPTH:
         raise InvalidFieldError(f"a value is nested over {_VALUE_DEPTH} deep")
-    if type(value) is list:
-        for item in value:
-            check_value(item, depth + 1)
-        return
-    if type(value) is not dict:
+    items = value
+    if type(value) is dict:
+        if not _is_all_text(value):
+            raise InvalidFieldError("a key of a value must be a text")
+        items = value.values()
+    elif type(value) is not list:
         raise InvalidFieldError(f"a value has type {type(value).__name__}")
-    for key, item in value.items():
-        if type(key) is not str:
-            raise InvalidFieldError(f"{key!r} must be a text")
+    if _SCALARS.issuperset(map(type, items)):
+        return
+    for item in items:
         check_value(item, depth + 1)
 
 
+def _is_all_text(keys: collections.abc.Iterable[typing.Any]) -> bool:
+    return _TEXT.issuperset(map(type, keys))
+
+
 def build_range(pair: typing.Any) -> ranges.KeyRange:
     """Returns the key range of ``[low, high]``; raises ValueError."""
-    low, high = check_shape(pair, (int, int))
-    return ranges.KeyRange(low=low, high=high)
+    if type(pair) is not list:
+        raise InvalidFieldError(f"{pair!r:.80} must be a list")
+    return _share_range(*pair)
 
 
 def build_snapshot(pair: typing.Any) -> requests.Snapshot:
     """Returns the snapshot of ``[index_version, map_version]``."""
-    index_version, map_version = check_shape(pair, (int, int))
-    return requests.Snapshot(
-        index_version=check_count(index_version),
-        map_version=check_count(map_version),
-    )
+    if type(pair) is not list:
+        raise InvalidFieldError(f"{pair!r:.80} must be a list")
+    return _share_snapshot(*pair)
 
 
 def list_holdings(holdings: tuple[requests.Holding, ...]) -> list:
@@ -196,10 +204,33 @@
     built = []
     for row in rows:
         snapshot, key_range = check_shape(row, (list, list))
-        built.append(
-            requests.Holding(
-                snapshot=build_snapshot(snapshot),
-                key_range=build_range(key_range),
-            )
-        )
+        built.append(_share_holding(*snapshot, *key_range))
     return tuple(built)
+
+
+# The caches tell types apart, as 1, 1.0 and True are equal.
+
+
+@functools.lru_cache(_SHARED_LIMIT, typed=True)
+def _share_range(low: int, high: int) -> ranges.KeyRange:
+    check_shape([low, high], (int, int))
+    return ranges.KeyRange(low=low, high=high)
+
+
+@functools.lru_cache(_SHARED_LIMIT, typed=True)
+def _share_snapshot(index_version: int, map_version: int) -> requests.Snapshot:
+    check_shape([index_version, map_version], (int, int))
+    return requests.Snapshot(
+        index_version=check_count(index_version),
+        map_version=check_count(map_version),
+    )
+
+
+@functools.lru_cache(_SHARED_LIMIT, typed=True)
+def _share_holding(
+    index_version: int, map_version: int, low: int, high: int
+) -> requests.Holding:
+    return requests.Holding(
+        snapshot=_share_snapshot(index_version, map_version),
+        key_range=_share_range(low, high),
+    )
--- a/src/bramleyfork/codecs/frames.py
+++ b/src/bramleyfork/codecs/frames.py
@@ -48,27 +48,36 @@
     def __init__(self):
         self._packer = msgpack.Packer()
 
-    def encode(
-        self, message: records.Record, now: float
-    ) -> expression.Result[bytes, FrameError]:
+    def encode(self, message: records.Record, now: float) -> bytes:
         """Returns the bytes of a message.
 
+        It raises, as building a Result takes as long as the encoding itself.
+
         Args:
           message: A record of a registered kind.
           now: Monotonic seconds, from which remaining times are counted.
+
+        Raises:
+          FrameError: The message cannot be encoded or is too large.
         """
         kind = formats.KINDS.get(type(message))
         if kind is None:
-            return _refuse("unknown_kind", f"no format for {type(message)!r}")
+            raise FrameError(
+                reason="unknown_kind", detail=f"no format for {type(message)!r}"
+            )
         try:
             data = self._packer.pack(formats.ENCODERS.find(kind)(message, now))
         except (TypeError, ValueError, OverflowError) as error:
             # A packer keeps the bytes of a failed message otherwise.
             self._packer.reset()
-            return _refuse("not_encodable", f"{kind}: {error}")
+            raise FrameError(
+                reason="not_encodable", detail=f"{kind}: {error}"
+            ) from None
         if len(data) > MESSAGE_LIMIT:
-            return _refuse("too_large", f"{kind} of {len(data)} bytes")
-        return expression.Ok(data)
+            raise FrameError(
+                reason="too_large", detail=f"{kind} of {len(data)} bytes"
+            )
+        return data
 
 
 class FrameDecoder:
@@ -125,7 +134,11 @@
             return expression.Error(self._error)
         missing = self._fed - self._start
         if missing:
-            return _refuse("truncated", f"{missing} bytes of a message")
+            return expression.Error(
+                FrameError(
+                    reason="truncated", detail=f"{missing} bytes of a message"
+                )
+            )
         return expression.Ok(None)
 
     def _feed_chunk(self, data: bytes, now: float, frames: list[Frame]) -> None:
@@ -179,12 +192,8 @@
             )
         try:
             message = decoder.decode(fields, now, self._host)
-        except ValueError as error:
+        except (ValueError, TypeError) as error:
             raise FrameError(
                 reason="wrong_type", detail=f"{kind}: {str(error):.200}"
             ) from None
         return Frame(kind=kind, size=size, message=message)
-
-
-def _refuse(reason: str, detail: str) -> expression.Result:
-    return expression.Error(FrameError(reason=reason, detail=detail))
--- a/src/bramleyfork/codecs/request_formats.py
+++ b/src/bramleyfork/codecs/request_formats.py
@@ -160,7 +160,6 @@
 
 
 def _build_answers(rows: list) -> tuple[tuple[int, typing.Any], ...]:
-    built = []
     for row in rows:
         if type(row) is not list or len(row) != 2:
             raise formats.InvalidFieldError("a record must be [key, value]")
@@ -170,8 +169,7 @@
                 f"key {key!r} must be an integer in [0, {ranges.KEY_SPACE})"
             )
         formats.check_value(value)
-        built.append((key, value))
-    return tuple(built)
+    return tuple(map(tuple, rows))
 
 
 def _list_report(report: requests.TargetReport | None) -> list | None:
--- a/src/bramleyfork/transports/peer_hub.py
+++ b/src/bramleyfork/transports/peer_hub.py
@@ -224,25 +224,27 @@
 
     def _encode(self, message: records.Record) -> peer_links.Outgoing | None:
         now = self._clock.read_monotonic()
-        result = self._encoder.encode(message, now)
-        if result.is_error() and isinstance(message, replies.SubReply):
-            message = peer_links.strip_reply(message, str(result.error))
-            result = self._encoder.encode(message, now)
-        if result.is_error():
-            _LOG.error(
-                "message not encodable", extra={"reason": str(result.error)}
-            )
-            if isinstance(message, requests.SubRequest):
-                self._report_lost(
-                    [message], verdicts.Verdict.NOT_RUN, str(result.error)
-                )
+        try:
+            payload = self._encoder.encode(message, now)
+        except frames.FrameError as error:
+            if (
+                isinstance(message, replies.SubReply)
+                and message.code != "bad_reply"
+            ):
+                return self._encode(peer_links.strip_reply(message, str(error)))
+            self._report_not_encodable(message, str(error))
             return None
         return peer_links.Outgoing(
-            kind=formats.KINDS[type(message)],
-            message=message,
-            payload=result.ok,
+            kind=formats.KINDS[type(message)], message=message, payload=payload
         )
 
+    def _report_not_encodable(
+        self, message: records.Record, detail: str
+    ) -> None:
+        _LOG.error("message not encodable", extra={"reason": detail})
+        if isinstance(message, requests.SubRequest):
+            self._report_lost([message], verdicts.Verdict.NOT_RUN, detail)
+
     def _write(
         self,
         link: peer_links.Link,
@@ -369,7 +371,7 @@
 
     def _greet(self, stream: peer_streams.Stream) -> None:
         hello = peer_handshake.build_hello(self._settings)
-        data = self._encoder.encode(hello, 0.0).ok
+        data = self._encoder.encode(hello, 0.0)
         self._counters.count_out("hello", len(data))
         stream.write(data)
 
--- a/tests/codecs/test_frames.py
+++ b/tests/codecs/test_frames.py
@@ -197,7 +197,7 @@
 
 def encode(*batch):
     encoder = frames.FrameEncoder()
-    return b"".join(encoder.encode(record, _NOW).ok for record in batch)
+    return b"".join(encoder.encode(record, _NOW) for record in batch)
 
 
 @hypothesis.given(
@@ -308,14 +308,16 @@
     encoder = frames.FrameEncoder()
     offer = messages.ConfigurationOffer(to="x", revision=1, digest="d")
     bad = messages.ConfigurationOffer(to="x", revision=1, digest=value)
-    assert encoder.encode(bad, _NOW).error.reason == reason
-    assert encoder.encode(offer, _NOW).ok == encode(offer)
+    with pytest.raises(frames.FrameError) as raised:
+        encoder.encode(bad, _NOW)
+    assert raised.value.reason == reason
+    assert encoder.encode(offer, _NOW) == encode(offer)
 
 
 def test_record_without_a_format_is_refused():
     encoder = frames.FrameEncoder()
-    error = encoder.encode(ranges.FULL_RANGE, _NOW).error
-    assert error.reason == "unknown_kind"
+    with pytest.raises(frames.FrameError, match="unknown_kind"):
+        encoder.encode(ranges.FULL_RANGE, _NOW)
 
 
 def test_remaining_time_is_never_longer_than_sent():
--- a/tests/transports/test_peers.py
+++ b/tests/transports/test_peers.py
@@ -168,7 +168,7 @@
 
 def encode(*batch):
     encoder = frames.FrameEncoder()
-    return b"".join(encoder.encode(message, 0.0).ok for message in batch)
+    return b"".join(encoder.encode(message, 0.0) for message in batch)
 
 
 def create_hello(host="x", deployment="d", protocol=frames.PROTOCOL):
