Split the outbox from the peer hub and test limits of links

Conclusion: a malformed peer address now fails one connection try instead of leaving messages waiting.

--- a/src/bramleyfork/transports/peer_hub.py
+++ b/src/bramleyfork/transports/peer_hub.py
@@ -3,13 +3,10 @@
 import asyncio
 import logging
 
-from bramleyfork.codecs import formats
 from bramleyfork.codecs import frames
 from bramleyfork.configuration import settings as daemon_settings
-from bramleyfork.core import blackboard
 from bramleyfork.core import clocks
 from bramleyfork.core import records
-from bramleyfork.core import replies
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
 from bramleyfork.transports import peer_book
@@ -18,6 +15,7 @@
 from bramleyfork.transports import peer_handshake
 from bramleyfork.transports import peer_inbox
 from bramleyfork.transports import peer_links
+from bramleyfork.transports import peer_outbox
 from bramleyfork.transports import peer_streams
 
 _LOG = logging.getLogger(__name__)
@@ -34,7 +32,7 @@
       settings: Settings of the daemon.
       clock: Source of monotonic time.
       book: Finds the link of a host.
-      losses: Writer of peer_subreplies, for sub-requests that get no answer.
+      outbox: Encodes messages and reports those that cannot be sent.
       inbox: Takes received messages.
       counters: Traffic by kind.
       cuts: Hosts with which traffic is cut.
@@ -44,11 +42,10 @@
         "_settings",
         "_clock",
         "_book",
-        "_losses",
+        "_outbox",
         "_inbox",
         "_counters",
         "_cuts",
-        "_encoder",
         "_streams",
         "_touched",
         "_tasks",
@@ -62,7 +59,7 @@
         settings: daemon_settings.Settings,
         clock: clocks.Clock,
         book: peer_book.LinkBook,
-        losses: blackboard.LogWriter,
+        outbox: peer_outbox.Outbox,
         inbox: peer_inbox.Inbox,
         counters: peer_counters.Counters,
         cuts: peer_cuts.Cuts,
@@ -70,11 +67,10 @@
         self._settings = settings
         self._clock = clock
         self._book = book
-        self._losses = losses
+        self._outbox = outbox
         self._inbox = inbox
         self._counters = counters
         self._cuts = cuts
-        self._encoder = frames.FrameEncoder()
         self._streams: set[peer_streams.Stream] = set()
         self._touched: dict[peer_links.Link, None] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -107,19 +103,19 @@
 
     def send(self, message: records.Record, host: str) -> None:
         """Queues a message for one host."""
-        outgoing = self._encode(message)
+        outgoing = self._outbox.encode(message)
         if outgoing is None:
             return
         link = self._book.find_link(host)
         if link is None:
-            self._refuse([outgoing], f"no address of host {host!r}")
+            self._outbox.refuse([outgoing], f"no address of host {host!r}")
             return
         link.batch.append(outgoing)
         self._touched[link] = None
 
     def send_every(self, message: records.Record) -> None:
         """Queues a message for each connected host, or for each seed."""
-        outgoing = self._encode(message)
+        outgoing = self._outbox.encode(message)
         if outgoing is None:
             return
         for link in self._book.list_every():
@@ -180,7 +176,7 @@
         link.note_connected()
         self._book.publish(link, connected=True)
         _LOG.info("stream up", extra=_describe(stream))
-        self._write(link, stream, self._renew(link.take_held(), now))
+        self._write(link, stream, self._outbox.renew(link.take_held(), now))
 
     def handle_frames(
         self, stream: peer_streams.Stream, batch: list[frames.Frame]
@@ -211,7 +207,7 @@
         _LOG.info(
             "stream down", extra=_describe(stream) | {"unanswered": len(lost)}
         )
-        self._report_lost(
+        self._outbox.report_lost(
             lost,
             verdicts.Verdict.MAY_HAVE_RUN,
             f"the stream to {stream.host} broke before the reply",
@@ -222,29 +218,6 @@
 
     # Sending.
 
-    def _encode(self, message: records.Record) -> peer_links.Outgoing | None:
-        now = self._clock.read_monotonic()
-        try:
-            payload = self._encoder.encode(message, now)
-        except frames.FrameError as error:
-            if (
-                isinstance(message, replies.SubReply)
-                and message.code != "bad_reply"
-            ):
-                return self._encode(peer_links.strip_reply(message, str(error)))
-            self._report_not_encodable(message, str(error))
-            return None
-        return peer_links.Outgoing(
-            kind=formats.KINDS[type(message)], message=message, payload=payload
-        )
-
-    def _report_not_encodable(
-        self, message: records.Record, detail: str
-    ) -> None:
-        _LOG.error("message not encodable", extra={"reason": detail})
-        if isinstance(message, requests.SubRequest):
-            self._report_lost([message], verdicts.Verdict.NOT_RUN, detail)
-
     def _write(
         self,
         link: peer_links.Link,
@@ -271,7 +244,7 @@
         if payloads:
             stream.write(b"".join(payloads))
         if refused:
-            self._refuse(refused, "too many bytes wait for this host")
+            self._outbox.refuse(refused, "too many bytes wait for this host")
         if link.has_outstanding:
             self._order_sweep()
 
@@ -281,52 +254,17 @@
         address = self._book.find_address(link)
         now = self._clock.read_monotonic()
         if address is None or (not link.connecting and now < link.retry_at):
-            self._refuse(batch, f"no stream to host {link.host!r}")
+            self._outbox.refuse(batch, f"no stream to host {link.host!r}")
             return
         refused = [outgoing for outgoing in batch if not link.hold(outgoing)]
         if refused:
-            self._refuse(refused, "too many bytes wait for this host")
+            self._outbox.refuse(refused, "too many bytes wait for this host")
         if not link.connecting and link.holds_messages:
             link.connecting = True
             task = self._loop.create_task(self._connect(link, address))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def _renew(
-        self, held: list[peer_links.Outgoing], now: float
-    ) -> list[peer_links.Outgoing]:
-        """Encodes waiting sub-requests again and drops expired ones."""
-        renewed = []
-        for outgoing in held:
-            message = outgoing.message
-            if isinstance(message, requests.SubRequest):
-                if message.deadline <= now:
-                    continue
-                outgoing = self._encode(message)
-            if outgoing is not None:
-                renewed.append(outgoing)
-        return renewed
-
-    def _refuse(self, batch: list[peer_links.Outgoing], detail: str) -> None:
-        for outgoing in batch:
-            self._counters.count_dropped(outgoing.kind)
-        lost = [
-            outgoing.message
-            for outgoing in batch
-            if isinstance(outgoing.message, requests.SubRequest)
-        ]
-        self._report_lost(lost, verdicts.Verdict.NOT_RUN, detail)
-
-    def _report_lost(
-        self,
-        lost: list[requests.SubRequest],
-        verdict: verdicts.Verdict,
-        detail: str,
-    ) -> None:
-        self._losses.extend(
-            [peer_links.build_loss(r, verdict, detail) for r in lost]
-        )
-
     # Connecting.
 
     async def _connect(self, link: peer_links.Link, address: str) -> None:
@@ -341,7 +279,7 @@
         try:
             async with asyncio.timeout(_CONNECT_LIMIT_S):
                 await self._dial(stream, link, address)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             detail = str(error) or "no answer in time"
         finally:
             link.connecting = False
@@ -355,7 +293,9 @@
                 "no stream to a peer",
                 extra={"peer": link.host, "address": address, "reason": detail},
             )
-        self._refuse(self._renew(link.take_held(), now), f"{address}: {detail}")
+        self._outbox.refuse(
+            self._outbox.renew(link.take_held(), now), f"{address}: {detail}"
+        )
 
     async def _dial(
         self, stream: peer_streams.Stream, link: peer_links.Link, address: str
@@ -370,10 +310,9 @@
         await stream.ready
 
     def _greet(self, stream: peer_streams.Stream) -> None:
-        hello = peer_handshake.build_hello(self._settings)
-        data = self._encoder.encode(hello, 0.0)
-        self._counters.count_out("hello", len(data))
-        stream.write(data)
+        hello = self._outbox.encode(peer_handshake.build_hello(self._settings))
+        self._counters.count_out(hello.kind, len(hello.payload))
+        stream.write(hello.payload)
 
     def _check_greeted(self, stream: peer_streams.Stream) -> None:
         if stream.host is None and stream in self._streams:
--- a/src/bramleyfork/transports/peer_streams.py
+++ b/src/bramleyfork/transports/peer_streams.py
@@ -173,6 +173,10 @@
 
 
 def parse_address(address: str) -> tuple[str, int]:
-    """Returns IP address and port of ``address:port``."""
+    """Returns IP address and port of ``address:port``.
+
+    Raises:
+      ValueError: The port is not a number.
+    """
     ip, _, port = address.rpartition(":")
-    return ip, int(port)
+    return ip.strip("[]"), int(port)
--- a/src/bramleyfork/transports/peers.py
+++ b/src/bramleyfork/transports/peers.py
@@ -15,6 +15,7 @@
 from bramleyfork.transports import peer_cuts
 from bramleyfork.transports import peer_hub
 from bramleyfork.transports import peer_inbox
+from bramleyfork.transports import peer_outbox
 from bramleyfork.transports import peer_streams
 
 _LOG = logging.getLogger(__name__)
@@ -70,7 +71,11 @@
                 declaration=board.find_table("declaration"),
                 writer=writers["peer_links"],
             ),
-            losses=writers["peer_subreplies"],
+            outbox=peer_outbox.Outbox(
+                clock=clock,
+                counters=self.counters,
+                losses=writers["peer_subreplies"],
+            ),
             inbox=peer_inbox.Inbox(
                 host=settings.host,
                 subrequests=writers["peer_subrequests"],
--- a/tests/transports/test_peers.py
+++ b/tests/transports/test_peers.py
@@ -314,6 +314,50 @@
         assert reply.verdict is verdicts.Verdict.MAY_HAVE_RUN
 
 
+def test_subrequests_beyond_the_bound_are_refused():
+    # Guards against memory that grows while a peer does not read.
+    a, b = Node("a"), Node("b")
+    with run_nodes(a, b):
+        a.writers["membership_out"].append(create_ping("b"))
+        a.wait_for_link("b", connected=True)
+        a.writers["subrequests"].extend(
+            [
+                create_request(f"a-{n}", parameters="x" * 2**17)
+                for n in range(40)
+            ]
+        )
+        refused = [a.next("peer_subreplies") for _ in range(9)]
+        assert {r.verdict for r in refused} == {verdicts.Verdict.NOT_RUN}
+        taken = [b.next("peer_subrequests").attempt_id for _ in range(31)]
+        assert taken == [f"a-{n}" for n in range(31)]
+
+
+def test_another_host_at_the_address_gets_no_subrequest():
+    # Guards against sub-requests for a host whose address was taken over.
+    a, b = Node("a"), Node("b")
+    with run_nodes(a, b, declared=False):
+        addresses = {"a": a.transport.address, "c": b.transport.address}
+        a.writers["declaration"].put("in_force", create_entry(addresses))
+        a.writers["subrequests"].append(create_request(owner="c"))
+        assert a.next("peer_subreplies").verdict is verdicts.Verdict.NOT_RUN
+        assert b.cursors["peer_subrequests"].take() == []
+
+
+def test_new_process_of_a_host_ends_the_streams_of_the_old_one():
+    # Guards against replies awaited from a process that was replaced.
+    a = Node("a")
+    hello = create_hello("b")
+    with run_nodes(a), connect(a) as old, connect(a) as new:
+        old.sendall(encode(hello))
+        a.wait_for_link("b", connected=True)
+        a.writers["subrequests"].append(create_request())
+        assert old.recv(1)
+        new.sendall(encode(hello.replace(incarnation=2)))
+        lost = a.next("peer_subreplies")
+        assert lost.verdict is verdicts.Verdict.MAY_HAVE_RUN
+        assert a.board.find_table("peer_links").get("b").connected
+
+
 @pytest.mark.parametrize(
     "data",
     [
