Bound the time that membership takes per step in large fleets

Cause: choosing news sorted all waiting news, and looking for dead hosts went through the whole fleet and moved the order of pings on.

--- a/src/bramleyfork/controllers/member_table.py
+++ b/src/bramleyfork/controllers/member_table.py
@@ -8,6 +8,7 @@
 from bramleyfork.core import fleet
 from bramleyfork.core import messages
 from bramleyfork.decisions import membership
+from bramleyfork.decisions import news
 
 _LOG = logging.getLogger(__name__)
 
@@ -32,8 +33,9 @@
         "_writer",
         "_declared",
         "_members",
-        "_sends",
+        "_news",
         "_suspects",
+        "_absent",
     )
 
     def __init__(
@@ -57,8 +59,10 @@
         self._writer = writer
         self._declared: frozenset[str] = frozenset()
         self._members: dict[str, fleet.Member] = {}
-        self._sends: dict[str, int] = {}
+        self._news = news.News()
         self._suspects: set[str] = set()
+        # Declared hosts that are dead or not heard of, in turn.
+        self._absent: dict[str, None] = {}
 
     def is_reachable(self, host: str) -> bool:
         """Returns whether a host may be expected to answer."""
@@ -68,13 +72,31 @@
         """Returns whether news is of a process not heard of before."""
         return membership.is_new_process(self._members.get(update.host), update)
 
-    def keep_declared(self, hosts: collections.abc.Iterable[str]) -> None:
-        """Removes the members that are not declared any more."""
+    def take_absent(self) -> str | None:
+        """Returns the next host that is dead or not heard of, in turn."""
+        for host in self._absent:
+            del self._absent[host]
+            self._absent[host] = None
+            return host
+        return None
+
+    def keep_declared(self, hosts: collections.abc.Sequence[str]) -> None:
+        """Removes the members that are not declared any more.
+
+        Args:
+          hosts: The declared hosts, in the order in which to look for those
+            that have not been heard of.
+        """
         self._declared = frozenset(hosts)
+        self._absent = {
+            host: None
+            for host in hosts
+            if host != self._host and not self.is_reachable(host)
+        }
         for host in list(self._members):
             if host not in self._declared and host != self._host:
                 del self._members[host]
-                self._sends.pop(host, None)
+                self._news.remove(host)
                 self._suspects.discard(host)
                 self._writer.remove(host)
 
@@ -156,10 +178,12 @@
         self, receiver: str
     ) -> tuple[messages.MemberUpdate, ...]:
         """Returns the news for one message and counts it as sent."""
-        updates, self._sends = membership.choose_updates(
-            self._members, self._sends, own=self._host, receiver=receiver
+        return self._news.choose_updates(
+            self._members,
+            own=self._host,
+            receiver=receiver,
+            limit=membership.compute_sends(len(self._declared)),
         )
-        return updates
 
     def list_everything(self) -> list[tuple[messages.MemberUpdate, ...]]:
         """Returns all beliefs in groups that fit a message."""
@@ -171,9 +195,11 @@
         if member.host == self._host:
             self._own = member
         if spread:
-            self._sends[member.host] = membership.compute_sends(
-                len(self._declared)
-            )
+            self._news.add(member.host)
+        if membership.is_reachable(member):
+            self._absent.pop(member.host, None)
+        else:
+            self._absent[member.host] = None
         if member.state == "suspect":
             self._suspects.add(member.host)
         else:
--- a/src/bramleyfork/controllers/membership.py
+++ b/src/bramleyfork/controllers/membership.py
@@ -133,7 +133,11 @@
         self._declared = declared
         hosts = set(declared.hosts) if declared else set()
         if hosts != before:
-            self._beliefs.keep_declared(hosts)
+            # Each host in another order, so that hosts that start together do
+            # not all ping the same one.
+            self._beliefs.keep_declared(
+                self._random.sample(sorted(hosts), len(hosts))
+            )
             self._rotation = membership.Rotation(
                 hosts=hosts - {self.settings.host}, source=self._random
             )
@@ -217,9 +221,7 @@
         if target is not None:
             self._ping(target, is_probe=True)
         if target is None or self._period % membership.ABSENT_EVERY == 0:
-            absent = self._rotation.choose_next(
-                lambda host: not self._beliefs.is_reachable(host)
-            )
+            absent = self._beliefs.take_absent()
             if absent is not None:
                 self._ping(absent)
         if self._last_answered not in (None, target) and leases.is_due(
--- a/src/bramleyfork/decisions/membership.py
+++ b/src/bramleyfork/decisions/membership.py
@@ -1,7 +1,6 @@
 """SWIM: beliefs about hosts and how news of them spreads."""
 
 import collections.abc
-import heapq
 import math
 import random
 
@@ -183,38 +182,6 @@
     )
 
 
-def choose_updates(
-    members: Members,
-    sends: collections.abc.Mapping[str, int],
-    *,
-    own: str,
-    receiver: str,
-) -> tuple[tuple[messages.MemberUpdate, ...], dict[str, int]]:
-    """Returns the news for one message and the sends that then remain.
-
-    The sender's own state goes first. Second goes the belief about the
-    receiver, so that it can refute a suspicion or the state of an earlier
-    process. The rest is the news that was sent least often so far.
-
-    Args:
-      members: Beliefs by host.
-      sends: Remaining sends by host.
-      own: The sender.
-      receiver: The receiver.
-    """
-    chosen = [host for host in (own, receiver) if host in members]
-    waiting = [host for host in sends if host in members and host not in chosen]
-    chosen += heapq.nlargest(
-        UPDATES_PER_MESSAGE - len(chosen), waiting, key=sends.__getitem__
-    )
-    remaining = {
-        host: left - (host in chosen)
-        for host, left in sends.items()
-        if host in members and left > (host in chosen)
-    }
-    return tuple(build_update(members[host]) for host in chosen), remaining
-
-
 def list_everything(
     members: Members,
 ) -> list[tuple[messages.MemberUpdate, ...]]:
--- a/tests/decisions/test_decisions_membership.py
+++ b/tests/decisions/test_decisions_membership.py
@@ -9,6 +9,7 @@
 from bramleyfork.core import fleet
 from bramleyfork.core import messages
 from bramleyfork.decisions import membership
+from bramleyfork.decisions import news
 from bramleyfork.decisions import probes
 
 states = strategies.sampled_from(["alive", "suspect", "leaving", "dead"])
@@ -28,9 +29,16 @@
     )
 
 
-def merge_all(news):
+def create_news(*hosts):
+    created = news.News()
+    for host in hosts:
+        created.add(host)
+    return created
+
+
+def merge_all(batch):
     member = None
-    for update in news:
+    for update in batch:
         member = (
             membership.merge_update(member, update, 0.0, direct=False) or member
         )
@@ -38,9 +46,9 @@
 
 
 @hypothesis.given(strategies.lists(updates, min_size=1, max_size=4))
-def test_hosts_agree_whatever_the_order_of_news(news):
+def test_hosts_agree_whatever_the_order_of_news(batch):
     # Guards against beliefs that never converge.
-    results = {merge_all(order) for order in itertools.permutations(news)}
+    results = {merge_all(order) for order in itertools.permutations(batch)}
     assert len(results) == 1
 
 
@@ -111,25 +119,28 @@
 @hypothesis.given(strategies.integers(1, 40))
 def test_news_is_sent_a_limited_number_of_times(count):
     members = {f"h{n}": create_member(f"h{n}") for n in range(count)}
-    sends = dict.fromkeys(members, membership.compute_sends(count))
+    limit = membership.compute_sends(count)
+    waiting = create_news(*members)
     seen = dict.fromkeys(members, 0)
     for _ in range(10_000):
-        chosen, sends = membership.choose_updates(
-            members, sends, own="own", receiver="other"
+        chosen = waiting.choose_updates(
+            members, own="own", receiver="other", limit=limit
         )
+        spread = max(seen.values()) - min(seen.values())
+        assert spread <= 1  # What was sent least often goes first.
         assert len(chosen) <= membership.UPDATES_PER_MESSAGE
         for update in chosen:
             seen[update.host] += 1
-        if not sends:
+        if not waiting:
             break
-    assert set(seen.values()) == {membership.compute_sends(count)}
+    assert set(seen.values()) == {limit}
 
 
 def test_receiver_hears_what_is_believed_of_it():
     members = {n: create_member(n) for n in ("own", "a", "b")}
     members["a"] = create_member("a", state="dead")
-    chosen, _ = membership.choose_updates(
-        members, {"b": 1}, own="own", receiver="a"
+    chosen = create_news("b", "a").choose_updates(
+        members, own="own", receiver="a", limit=9
     )
     assert [update.host for update in chosen] == ["own", "a", "b"]
 
