--- a/src/bramleyfork/transports/platform.py
+++ b/src/bramleyfork/transports/platform.py
@@ -88,14 +88,17 @@
         """Starts the thread."""
         self._thread.start()
 
-    def stop(self, timeout_s: float = 2.0) -> None:
-        """Breaks off a waiting read and ends the thread."""
+    def interrupt(self) -> None:
+        """Breaks off a waiting read; the thread then ends."""
         self._stopped.set()
         if self._socket is not None:
             try:
                 self._socket.shutdown(socket.SHUT_RDWR)
             except OSError:
                 _LOG.debug("platform connection was closed already")
+
+    def join(self, timeout_s: float = 2.0) -> None:
+        """Waits for the end of the thread."""
         self._thread.join(timeout_s)
 
     def _run(self) -> None:
@@ -200,27 +203,40 @@
     the controllers pace the reads.
     """
 
-    def start(self) -> None:
-        """Starts the lanes; connections are made with the first reads."""
-        self._writer = self.board.grant_writer("platform_results", self.name)
+    def __init__(
+        self,
+        *,
+        board: blackboard.Blackboard,
+        settings: typing.Any,
+        clock: clocks.Clock,
+    ):
+        super().__init__(board=board, settings=settings, clock=clock)
+        writer = board.grant_writer("platform_results", self.name)
+        # The cursors are opened here, so that reads ordered before the start
+        # are not lost.
         self._lanes = [
             Lane(
                 name=name,
-                cursor=self.board.find_log(section).open_cursor(),
+                cursor=board.find_log(section).open_cursor(),
                 accepts=accepts,
                 connect=self._connect,
-                write=self._writer.append,
-                clock=self.clock,
+                write=writer.append,
+                clock=clock,
             )
             for name, section, accepts in _LANES
         ]
+
+    def start(self) -> None:
+        """Starts the lanes; connections are made with the first reads."""
         for lane in self._lanes:
             lane.start()
 
     def stop(self) -> None:
         """Breaks off waiting reads and ends the lanes."""
         for lane in self._lanes:
-            lane.stop()
+            lane.interrupt()
+        for lane in self._lanes:
+            lane.join()
 
     def _connect(self) -> urllib3.connection.HTTPConnection:
         host, _, port = self.settings.platform_address.rpartition(":")
