--- a/tests/codecs/test_codecs_documents.py
+++ b/tests/codecs/test_listings.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 import pytest
 
-from bramleyfork.codecs import documents
+from bramleyfork.codecs import listings
 from bramleyfork.core import ranges
 from bramleyfork.core import requests
 
@@ -12,7 +12,7 @@
 
 
 def decode(document):
-    return documents.decode_listing(json.dumps(document).encode())
+    return listings.decode_listing(json.dumps(document).encode())
 
 
 def test_listing_is_decoded():
@@ -48,4 +48,4 @@
     st.binary() | st.sampled_from([b"[" * 100_000, b"{}", b"[]", b"NaN"])
 )
 def test_no_body_makes_the_decoder_raise(body):
-    assert documents.decode_listing(body).is_error()
+    assert listings.decode_listing(body).is_error()
--- a/tests/controllers/test_controllers_configuration.py
+++ b/tests/controllers/test_controllers_configuration.py
@@ -1,7 +1,7 @@
 import itertools
 
-import configuration_rig
 import pytest
+from tests.controllers import configuration_rig
 
 from bramleyfork.configuration import manifests
 from bramleyfork.core import fleet
--- a/tests/controllers/test_controllers_configuration_network.py
+++ b/tests/controllers/test_controllers_configuration_network.py
@@ -1,6 +1,6 @@
-import configuration_rig
 import hypothesis
 from hypothesis import strategies as st
+from tests.controllers import configuration_rig
 
 from bramleyfork.core import messages
 
