--- a/src/bramleyfork/configuration/tables.py
+++ b/src/bramleyfork/configuration/tables.py
@@ -156,39 +156,45 @@
     Returns:
       A value for every option, or every problem.
     """
-    problems = []
     known = {option.key: option for option in options}
-    for key, value in values.items():
-        if key not in known:
-            allowed, advice = check_unknown(key, known)
-            problems.append(
-                Problem(
-                    file=file,
-                    key=f"unknown key {prefix + key!r}",
-                    value=value,
-                    allowed=allowed,
-                    advice=advice,
-                )
-            )
+    problems = [
+        _report_unknown(file, prefix, key, value, known)
+        for key, value in values.items()
+        if key not in known
+    ]
     checked = {}
     for key, option in known.items():
         result = _check_option(option, values)
         if result.is_ok():
             checked[key] = result.ok
             continue
-        problems.append(
-            Problem(
-                file=file,
-                key=prefix + key,
-                value=values.get(key),
-                allowed=result.error,
-            )
+        found, allowed = values.get(key), result.error
+        problem = Problem(
+            file=file, key=prefix + key, value=found, allowed=allowed
         )
+        problems.append(problem)
     if problems:
         return expression.Error(tuple(problems))
     return expression.Ok(checked)
 
 
+def _report_unknown(
+    file: str,
+    prefix: str,
+    key: str,
+    value: typing.Any,
+    known: collections.abc.Collection[str],
+) -> Problem:
+    allowed, advice = check_unknown(key, known)
+    return Problem(
+        file=file,
+        key=f"unknown key {prefix + key!r}",
+        value=value,
+        allowed=allowed,
+        advice=advice,
+    )
+
+
 def _check_option(
     option: Option, values: dict[str, typing.Any]
 ) -> expression.Result[typing.Any, str]:
