--- a/src/bramleyfork/transports/peers.py
+++ b/src/bramleyfork/transports/peers.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import threading
+import typing
 
 from bramleyfork.core import blackboard
 from bramleyfork.core import clocks
@@ -62,29 +63,7 @@
         writers = {
             name: board.grant_writer(name, self.name) for name in _WRITES
         }
-        self._hub = peer_hub.PeerHub(
-            settings=settings,
-            clock=clock,
-            book=peer_book.LinkBook(
-                settings=settings,
-                clock=clock,
-                declaration=board.find_table("declaration"),
-                writer=writers["peer_links"],
-            ),
-            outbox=peer_outbox.Outbox(
-                clock=clock,
-                counters=self.counters,
-                losses=writers["peer_subreplies"],
-            ),
-            inbox=peer_inbox.Inbox(
-                host=settings.host,
-                subrequests=writers["peer_subrequests"],
-                subreplies=writers["peer_subreplies"],
-                control=writers["peer_control"],
-            ),
-            counters=self.counters,
-            cuts=peer_cuts.Cuts(path=settings.cut_file),
-        )
+        self._hub = self._build_hub(writers)
         self._woken = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self._stopping: asyncio.Event | None = None
@@ -117,6 +96,31 @@
             self._loop.call_soon_threadsafe(self._stopping.set)
         self._thread.join(_STOP_LIMIT_S)
 
+    def _build_hub(self, writers: dict[str, typing.Any]) -> peer_hub.PeerHub:
+        return peer_hub.PeerHub(
+            settings=self.settings,
+            clock=self.clock,
+            book=peer_book.LinkBook(
+                settings=self.settings,
+                clock=self.clock,
+                declaration=self.board.find_table("declaration"),
+                writer=writers["peer_links"],
+            ),
+            outbox=peer_outbox.Outbox(
+                clock=self.clock,
+                counters=self.counters,
+                losses=writers["peer_subreplies"],
+            ),
+            inbox=peer_inbox.Inbox(
+                host=self.settings.host,
+                subrequests=writers["peer_subrequests"],
+                subreplies=writers["peer_subreplies"],
+                control=writers["peer_control"],
+            ),
+            counters=self.counters,
+            cuts=peer_cuts.Cuts(path=self.settings.cut_file),
+        )
+
     def _run(self) -> None:
         try:
             asyncio.run(self._serve())
--- a/tests/codecs/test_frames.py
+++ b/tests/codecs/test_frames.py
@@ -288,6 +288,16 @@
     assert decode(data).reason == reason
 
 
+def test_numbers_that_are_equal_but_of_another_type_are_refused():
+    # Guards against the shared ranges, where 1, 1.0 and True are one key.
+    row = ["t", "live", [[[1, 1], [0, 9]]]]
+    assert decode(msgpack.packb(["listing_update", [row]]))
+    for holding in ([[1, True], [0, 9]], [[1, 1], [False, 9.0]]):
+        row[2] = [holding]
+        error = decode(msgpack.packb(["listing_update", [row]]))
+        assert error.reason == "wrong_type"
+
+
 def test_largest_part_fits():
     part = messages.ConfigurationPart(
         to=_HOST, digest="d" * 64, key="k", body=b"x" * (1 << 20)
--- a/tests/controllers/test_controllers_membership.py
+++ b/tests/controllers/test_controllers_membership.py
@@ -176,6 +176,47 @@
     assert system.list_beliefs("c") == {"alive"}
 
 
+@pytest.mark.parametrize(
+    ("pause_s", "state"), [(0.5, "suspect"), (8.0, "alive")]
+)
+def test_no_answer_counts_only_if_this_host_was_awake(pause_s, state):
+    # Guards against a woken host that suspects a host whose ack waits unread.
+    node = Node("a")
+    node.put_in_force("ab")
+    node.controller.step(1000.0)
+    [ping] = node.out.take()
+    ack = messages.Ack(
+        to="a",
+        sequence=ping.sequence,
+        about="b",
+        revision=1,
+        digest="",
+        updates=(
+            messages.MemberUpdate(
+                host="b", incarnation=1, state="alive", load=0.0, leased=True
+            ),
+        ),
+    )
+    node.writers["peer_control"].append(
+        messages.Received(sender="b", received_at=1000.1, message=ack)
+    )
+    for now in (1000.1, 1000.5, 1000.7):
+        node.controller.step(now)
+    node.controller.step(1000.5 + pause_s)
+    assert node.read_states()["b"] == state
+
+
+def test_host_that_reaches_one_peer_keeps_its_lease():
+    # Guards against a lease that ends between two pings of the only peer.
+    hosts = [f"h{n}" for n in range(12)]
+    system = Fleet(*hosts)
+    system.run(3.0)
+    system.cut(["h0"], hosts[2:])
+    for _ in range(200):
+        system.run(0.1)
+        assert system.has_lease("h0")
+
+
 def test_cut_between_two_hosts_is_bridged_by_others():
     system = Fleet("a", "b", "c", "d")
     system.run(3.0)
