--- a/src/bramleyfork/transports/peer_hub.py
+++ b/src/bramleyfork/transports/peer_hub.py
@@ -1,6 +1,7 @@
 """All streams of one host: connecting, sending and receiving."""
 
 import asyncio
+import contextlib
 import logging
 
 from bramleyfork.codecs import frames
@@ -50,6 +51,7 @@
         "_touched",
         "_tasks",
         "_sweep_timer",
+        "_all_lost",
         "_loop",
     )
 
@@ -75,6 +77,7 @@
         self._touched: dict[peer_links.Link, None] = {}
         self._tasks: set[asyncio.Task] = set()
         self._sweep_timer: asyncio.TimerHandle | None = None
+        self._all_lost: asyncio.Event | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
 
     def start(self) -> None:
@@ -89,9 +92,10 @@
             self._sweep_timer.cancel()
         for stream in list(self._streams):
             stream.close()
-        end = self._loop.time() + _CLOSE_LIMIT_S
-        while self._streams and self._loop.time() < end:
-            await asyncio.sleep(0.01)
+        if self._streams:
+            self._all_lost = asyncio.Event()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._all_lost.wait(), _CLOSE_LIMIT_S)
         for stream in list(self._streams):
             stream.abort()
         await asyncio.sleep(0)
@@ -199,6 +203,8 @@
     def handle_lost(self, stream: peer_streams.Stream) -> None:
         """Reports the sub-requests that were unanswered on the stream."""
         self._streams.discard(stream)
+        if self._all_lost is not None and not self._streams:
+            self._all_lost.set()
         if stream.host is None:
             return
         link = self._book.get_link(stream.host)
