--- a/src/bramleyfork/configuration/tables.py
+++ b/src/bramleyfork/configuration/tables.py
@@ -168,14 +168,11 @@
         if result.is_ok():
             checked[key] = result.ok
             continue
-        problems.append(
-            Problem(
-                file=file,
-                key=prefix + key,
-                value=values.get(key),
-                allowed=result.error,
-            )
+        found, allowed = values.get(key), result.error
+        problem = Problem(
+            file=file, key=prefix + key, value=found, allowed=allowed
         )
+        problems.append(problem)
     if problems:
         return expression.Error(tuple(problems))
     return expression.Ok(checked)
