Allow every registered replica policy in the declaration

Cause: the declaration accepted one of three registered policies. Change: the option lists all; a test compares it with the registry. Before: "random" was refused.

--- a/src/bramleyfork/configuration/declared_options.py
+++ b/src/bramleyfork/configuration/declared_options.py
@@ -3,7 +3,7 @@
 from bramleyfork.configuration import tables
 
 STRATEGIES = ("owner", "direct")
-REPLICA_POLICIES = ("power_of_two",)
+REPLICA_POLICIES = ("least_latency", "power_of_two", "random")
 
 _NAME = tables.Option(key="name", type="name", purpose="Unique name.")
 _OUT = tables.Option(
--- a/tests/decisions/test_shares.py
+++ b/tests/decisions/test_shares.py
@@ -3,6 +3,8 @@
 import pytest
 from tests import creators
 
+from bramleyfork.configuration import declared_options
+from bramleyfork.decisions import replicas
 from bramleyfork.decisions import shares
 
 
@@ -59,3 +61,13 @@
         service=service, strategy="owner", rank=0, host_count=3
     )
     assert share.in_flight == share.connections - 1
+
+
+def test_declaration_accepts_every_registered_strategy():
+    # Guards against a strategy or policy that no declaration can name.
+    assert set(declared_options.STRATEGIES) == set(
+        shares.STRATEGIES.list_names()
+    )
+    assert set(declared_options.REPLICA_POLICIES) == set(
+        replicas.POLICIES.list_names()
+    )
