--- a/src/standins/platform/server.py
+++ b/src/standins/platform/server.py
@@ -199,7 +199,10 @@
             return encode_json({"error": f"{method} {name!r}"}, 405)
         try:
             check = kinds.COMMANDS.find(name)
-            checked = check(json.loads(body or b"{}"), self.board)
+            document = json.loads(body or b"{}")
+            if not isinstance(document, dict):
+                raise ValueError(f"{document!r} must be an object")
+            checked = check(document, self.board)
         except (registries.UnknownNameError, ValueError) as error:
             return encode_json({"error": str(error)}, 400)
         command = values.Command(name=name, body=checked)
--- a/src/standins/target/commands.py
+++ b/src/standins/target/commands.py
@@ -36,7 +36,13 @@
     ``wrong_attempt_id`` and ``cut_reply`` take true for every reply or the
     number of replies to spoil.
     """
-    return check_fields(body, NO_FAULTS)
+    body = check_fields(body, NO_FAULTS)
+    if type(body["crash_on"]) is not str:
+        raise ValueError(f"crash_on {body['crash_on']!r} must be text")
+    for name in set(NO_FAULTS) - {"crash_on"}:
+        if not isinstance(body[name], int | float) or body[name] < 0:
+            raise ValueError(f"{name} {body[name]!r} must be 0 or more")
+    return body
 
 
 @kinds.COMMANDS.register("cold")
--- a/src/standins/target/routes.py
+++ b/src/standins/target/routes.py
@@ -77,7 +77,10 @@
         return server.encode_json({"error": f"{method} {name!r}"}, 405)
     try:
         check = kinds.COMMANDS.find(name)
-        checked = check(json.loads(body or b"{}"))
+        document = json.loads(body or b"{}")
+        if not isinstance(document, dict):
+            raise ValueError(f"{document!r} must be an object")
+        checked = check(document)
     except (registries.UnknownNameError, ValueError) as error:
         return server.encode_json({"error": str(error)}, 400)
     for http in targets:
--- a/tests/standins/test_standins_processes.py
+++ b/tests/standins/test_standins_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import time
 
 import pytest
 import urllib3
@@ -20,6 +21,7 @@
         [
             launch.build_target("plain", "s"),
             launch.build_target("narrow", "s", connections=1),
+            launch.build_target("far", "s", latency={"127.0.0.": 30.0}),
             launch.build_target("fragile", "s", restart_after_s=None),
         ]
     )
@@ -76,6 +78,15 @@
     assert reply.headers["Attempt-Id"] == "id-1"
 
 
+def test_latency_is_added_in_both_directions(targets):
+    # Guards against latency on one way only; the target itself sees none.
+    before = time.monotonic()
+    send(create_http(), targets, "far")
+    assert time.monotonic() - before >= 0.06
+    found = targets.read("journal", target="far")["targets"]["far"]
+    assert found["attempts"][0]["waited_ms"] < 30.0
+
+
 def test_invalid_request_is_rejected(targets):
     reply = send(create_http(), targets, "plain", low=9, high=9)
     assert reply.status == 400
--- a/tests/standins/test_standins_target.py
+++ b/tests/standins/test_standins_target.py
@@ -6,6 +6,7 @@
 
 from standins.target import attempts
 from standins.target import commands
+from standins.target import limits
 from standins.target import program  # noqa: F401 (registers controllers)
 from standins.target import server
 from standins.target import settings
@@ -226,3 +227,12 @@
 def test_invalid_settings_name_the_field(fields, message):
     with pytest.raises(settings.SettingsError, match=message):
         Bench(**fields)
+
+
+@pytest.mark.parametrize(
+    ("source", "latency_s"),
+    [("127.0.1.7", 0.003), ("127.0.2.7", 0.008), ("10.0.0.1", 0.0)],
+)
+def test_latency_of_the_longest_prefix_counts(source, latency_s):
+    table = {"127.0.": 8.0, "127.0.1.": 3.0}
+    assert limits.find_latency_s(table, source) == pytest.approx(latency_s)
