--- /dev/null
+++ b/tests/scenarios/conftest.py
@@ -0,0 +1,223 @@
+"""The scenario language: a fleet of processes and the steps common to all.
+
+Scenarios run a real fleet on loopback addresses of their own. The stand-ins
+record what reached them, so promises about targets and the platform are
+checked there and not in the product's own words.
+"""
+
+import os
+import signal
+import threading
+import time
+
+from bench import checks
+from bench import fleet as fleet_module
+import pytest
+import pytest_bdd
+
+# Longest wait for something that is promised within seconds, on a slow machine.
+PATIENCE_S = 10.0
+
+
+class World:
+    """What the steps of one scenario share."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.answers = []
+        self.load = None
+        self.marks = {}
+
+    @property
+    def answer(self):
+        """The latest answer."""
+        return self.answers[-1]
+
+    def ask(self, host, lookup, **fields):
+        answer = self.fleet.query(host, lookup, **fields)
+        self.answers.append(answer)
+        return answer
+
+    def find_faults(self, answer, lookup, key=None):
+        declared = self.fleet.declaration.lookups[lookup]
+        return checks.find_faults(answer, declared, key)
+
+    def wait_until(self, condition, what, timeout_s=PATIENCE_S):
+        """Waits for a condition; the error names what is late."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            found = condition()
+            if found:
+                return found
+            time.sleep(0.05)
+        raise AssertionError(f"{what} has not come within {timeout_s} s")
+
+
+class Load:
+    """Callers that query all the while, bounded in count and time.
+
+    Args:
+      world: The scenario.
+      lookup: What to ask.
+      callers: Number of threads.
+      pause_s: Pause between two queries of one thread.
+    """
+
+    LIMIT = 5000
+
+    def __init__(self, *, world, lookup, callers=3, pause_s=0.05, **fields):
+        self.world = world
+        self.lookup = lookup
+        self.fields = fields
+        self.pause_s = pause_s
+        self.rows = []
+        self.errors = []
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,), daemon=True)
+            for n in range(callers)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join(PATIENCE_S)
+        return self.rows
+
+    def list_faults(self):
+        return [
+            fault
+            for _, answer in self.rows
+            for fault in self.world.find_faults(answer, self.lookup)
+        ]
+
+    def _run(self, number):
+        hosts = sorted(self.world.fleet.daemons)
+        host = hosts[number % len(hosts)]
+        while not self._stopped.wait(self.pause_s):
+            if len(self.rows) >= self.LIMIT:
+                return
+            try:
+                answer = self.world.fleet.query(
+                    host, self.lookup, **self.fields
+                )
+            except Exception as error:
+                self.errors.append((time.time(), host, repr(error)))
+            else:
+                self.rows.append((time.time(), answer))
+
+
+def choose_net():
+    """Returns the second number of this process's loopback addresses."""
+    return 100 + os.getpid() % 150
+
+
+@pytest.fixture
+def world():
+    """Returns a function that starts a small fleet."""
+    created = []
+
+    def start(**target_fields):
+        deployment = fleet_module.Deployment(name="small", net=choose_net())
+        fleet = fleet_module.Fleet(deployment=deployment, **target_fields)
+        created.append(fleet)
+        fleet.start()
+        return World(fleet)
+
+    yield start
+    for fleet in created:
+        fleet.stop()
+
+
+@pytest_bdd.given("a running fleet", target_fixture="running")
+def start_fleet(world):
+    return world(service_ms=4.0, record_stride=1024)
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse("a running fleet with {service_ms:d} ms service"),
+    target_fixture="running",
+)
+def start_fleet_with_service(world, service_ms):
+    return world(service_ms=float(service_ms), record_stride=1024)
+
+
+@pytest_bdd.given(
+    pytest_bdd.parsers.parse('callers that ask "{lookup}" all the while')
+)
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse('callers ask "{lookup}" all the while')
+)
+def start_load(running, lookup):
+    running.load = Load(world=running, lookup=lookup, parameters="load")
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse("{seconds:g} seconds of load pass"))
+def pass_load(running, seconds):
+    # The load itself is the event waited for: time in which queries run.
+    before = len(running.load.rows)
+    time.sleep(seconds)
+    assert len(running.load.rows) > before
+
+
+@pytest_bdd.when("the callers stop")
+def stop_load(running):
+    running.load.stop()
+
+
+@pytest_bdd.when(
+    pytest_bdd.parsers.parse('a caller asks host "{host}" for "{lookup}"')
+)
+def ask_host(running, host, lookup):
+    running.ask(host, lookup)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse('target "{target}" suffers "{call}"'))
+def control_target(running, target, call):
+    running.fleet.find_stand_in(target).control(call, target=target)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse('host "{host}" is killed'))
+def kill_host(running, host):
+    running.fleet.daemons[host].stop()
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse('host "{host}" is frozen'))
+def freeze_host(running, host):
+    running.fleet.daemons[host].send_signal(signal.SIGSTOP)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse('host "{host}" wakes'))
+def wake_host(running, host):
+    running.fleet.daemons[host].send_signal(signal.SIGCONT)
+
+
+@pytest_bdd.when(pytest_bdd.parsers.parse('host "{host}" starts again'))
+def restart_host(running, host):
+    running.fleet.start_daemon(host)
+    running.fleet.wait_ready(host)
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse('the answer is "{code}"'))
+def check_code(running, code):
+    assert running.answer["code"] == code, running.answer
+
+
+@pytest_bdd.then(pytest_bdd.parsers.parse("the coverage is {share:g}"))
+def check_coverage(running, share):
+    assert running.answer["coverage"] == pytest.approx(share)
+
+
+@pytest_bdd.then("no answer was wrong")
+def check_answers(running):
+    assert running.load.rows
+    assert running.load.list_faults() == []
+
+
+@pytest_bdd.then("every answer is complete")
+def check_complete(running):
+    codes = {answer["code"] for _, answer in running.load.rows}
+    assert codes == {"ok"}
+    assert running.load.errors == []
--- /dev/null
+++ b/tests/scenarios/test_first.py
@@ -0,0 +1,3 @@
+import pytest_bdd
+
+pytest_bdd.scenarios("first.feature")
