--- a/src/bramleyfork/tool.py
+++ b/src/bramleyfork/tool.py
@@ -40,7 +40,7 @@
   bramleyfork show state --administration 127.0.1.1:8081
   bramleyfork place --caller 127.0.1.1:8080 --data_centre bilbao
   bramleyfork query availability --caller 127.0.1.1:8080 --deadline_ms 400
-  bramleyfork check examples/torno-norte
+  bramleyfork check examples/torno-norte/declaration
 """
 
 
