Show the help of a single command

Cause: help on a command printed the general page without its example. Change: bramleyfork help COMMAND prints the command's own text. Before: the example of query was nowhere to be seen. After: it is shown; the tool's tests pass. Conclusion: the tool explains itself.

--- a/src/bramleyfork/tool.py
+++ b/src/bramleyfork/tool.py
@@ -23,6 +23,7 @@
 
 _USAGE = """\
 usage: bramleyfork COMMAND [ARGUMENTS] [FLAGS]
+       bramleyfork help COMMAND
 
 commands:
 {commands}
@@ -86,7 +87,7 @@
     catalogues.load_modules(commands)
     values = define_flags()
     if len(argv) < 2 or any(name in argv for name in _HELP_NAMES):
-        sys.stdout.write(build_help(values))
+        sys.stdout.write(build_help(values, argv[1:]))
         return registry.EXIT_USAGE if len(argv) < 2 else registry.EXIT_OK
     try:
         _, *positional = values(argv)
@@ -105,17 +106,29 @@
     return result.exit_code
 
 
-def build_help(values: flags.FlagValues) -> str:
-    """Returns the help text with all commands and flags."""
-    commands = []
-    for name, command in registry.COMMANDS.list_items():
-        lines = inspect.cleandoc(command.__doc__ or "").splitlines()
-        commands.append(f"  {name:18}{lines[0] if lines else ''}")
+def build_help(values: flags.FlagValues, words: list[str]) -> str:
+    """Returns the help on a command, or on all commands and flags.
+
+    Args:
+      values: The flags.
+      words: What was typed; help is on the first command among it.
+    """
+    texts = {
+        name: inspect.cleandoc(command.__doc__ or "")
+        for name, command in registry.COMMANDS.list_items()
+    }
+    for word in words:
+        if word in texts:
+            return f"{texts[word]}\n"
+    listed = [
+        f"  {name:18}{text.partition(chr(10))[0]}"
+        for name, text in texts.items()
+    ]
     rows = [
         f"  --{name:16}{values[name].help} (default: {values[name].value})"
         for name in registry.Options.__slots__
     ]
-    return _USAGE.format(commands="\n".join(commands), flags="\n".join(rows))
+    return _USAGE.format(commands="\n".join(listed), flags="\n".join(rows))
 
 
 @FORMATTERS.register("json")
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -40,3 +40,10 @@
     text = capsys.readouterr().out
     for word in ("show", "place", "query", "--deadline_ms", "exit codes"):
         assert word in text
+
+
+def test_help_on_a_command_shows_its_example(capsys):
+    assert tool.main(["bramleyfork", "help", "query"]) == 0
+    text = capsys.readouterr().out
+    assert text.startswith("Sends a query")
+    assert "Example: bramleyfork query availability" in text
