Decide readiness apart from the caller transport

Cause: the transport held the rule for readiness and a second copy of the function that builds refusals. Change: decisions.readiness holds the rule; refusals come from decisions.answers. Conclusion: another front end can use the same rule.

--- a/src/bramleyfork/transports/callers.py
+++ b/src/bramleyfork/transports/callers.py
@@ -16,7 +16,9 @@
 from bramleyfork.core import requests
 from bramleyfork.core import transports
 from bramleyfork.core import verdicts
+from bramleyfork.decisions import answers
 from bramleyfork.decisions import placement
+from bramleyfork.decisions import readiness
 from bramleyfork.decisions import tickets
 from bramleyfork.transports import metrics
 from bramleyfork.transports import servers
@@ -72,8 +74,10 @@
             threads=self.settings.caller_threads,
             clock=self.clock,
             overload_body=documents.encode_answer(
-                build_refusal(
-                    "", "overloaded", "too many requests wait on this host"
+                answers.build_refusal(
+                    "",
+                    "overloaded",
+                    detail="too many requests wait on this host",
                 )
             ),
         )
@@ -134,10 +138,10 @@
         if waiter.answer is None:
             self._waiters.pop(query.query_id, None)
         # The answer may have come between the end of the wait and the removal.
-        return waiter.answer or build_refusal(
+        return waiter.answer or answers.build_refusal(
             query.query_id,
             "no_answer",
-            "the query was not answered by its deadline",
+            detail="the query was not answered by its deadline",
             verdict=verdicts.Verdict.MAY_HAVE_RUN,
         )
 
@@ -201,22 +205,28 @@
         query_id = transport.name_query()
         entry = transport.find_entry()
         if entry is None:
-            return build_refusal(
-                query_id, "starting", "no configuration is in force yet"
+            return answers.build_refusal(
+                query_id, "starting", detail="no configuration is in force yet"
             )
         lifecycle = transport.find_lifecycle()
         if lifecycle is not None and lifecycle.phase == "stopped":
-            return build_refusal(query_id, "stopped", "the host has stopped")
+            return answers.build_refusal(
+                query_id, "stopped", detail="the host has stopped"
+            )
         try:
             body = _read_body()
         except TimeoutError:
             servers.close_after_answer()
-            return build_refusal(
-                query_id, "deadline_past", "the body did not arrive in time"
+            return answers.build_refusal(
+                query_id,
+                "deadline_past",
+                detail="the body did not arrive in time",
             )
         except ValueError as error:
             servers.close_after_answer()
-            return build_refusal(query_id, "malformed", str(error))
+            return answers.build_refusal(
+                query_id, "malformed", detail=str(error)
+            )
         decoded = documents.decode_query(
             body,
             query_id=query_id,
@@ -225,12 +235,14 @@
             longest_deadline_s=entry.declaration.longest_deadline_s,
         )
         if decoded.is_error():
-            return build_refusal(
-                query_id, decoded.error.code, decoded.error.detail
+            return answers.build_refusal(
+                query_id, decoded.error.code, detail=decoded.error.detail
             )
         if transport.clock.read_monotonic() >= decoded.ok.deadline:
-            return build_refusal(
-                query_id, "deadline_past", "the deadline passed before routing"
+            return answers.build_refusal(
+                query_id,
+                "deadline_past",
+                detail="the deadline passed before routing",
             )
         return transport.ask(decoded.ok)
 
@@ -326,36 +338,12 @@
 
     def _find_obstacle(self) -> str:
         transport = self._transport
-        lifecycle = transport.find_lifecycle()
-        phase = lifecycle.phase if lifecycle else "starting"
-        if phase != "serving":
-            return f"the host is {phase}"
-        if transport.find_entry() is None:
-            return "no configuration is in force"
-        lease = transport.board.find_table("lease").get("current")
-        now = transport.clock.read_monotonic()
-        if lease is None or now >= lease.expires_at:
-            return "the control lease does not hold"
-        return ""
-
-
-def build_refusal(
-    query_id: str,
-    code: str,
-    detail: str,
-    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
-) -> replies.Answer:
-    """Returns an answer without records."""
-    return replies.Answer(
-        query_id=query_id,
-        verdict=verdict,
-        code=code,
-        snapshot=None,
-        coverage=0.0,
-        missing=(),
-        answers=(),
-        detail=detail,
-    )
+        return readiness.find_obstacle(
+            lifecycle=transport.find_lifecycle(),
+            entry=transport.find_entry(),
+            lease=transport.board.find_table("lease").get("current"),
+            now=transport.clock.read_monotonic(),
+        )
 
 
 def _refuse_option(detail: str) -> bytes:
