Measure what control costs per host as the fleet grows

Cause: the limits of design section 1.6 can only be compared with slopes, and the peer transport's traffic was counted but not exported. Before: no figure per host.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -306,13 +306,17 @@
         )
         return {**json.loads(reply.data), "status": reply.status}
 
-    def administer(self, host: str, path: str) -> Document:
-        """Returns a document of a host's administration interface."""
+    def find_administration(self, host: str) -> str:
+        """Returns a host's address for operators."""
         text = self.deployment.hosts[host]
         line = next(
             row for row in text.splitlines() if row.startswith("administration")
         )
-        address = json.loads(line.partition("=")[2])
+        return json.loads(line.partition("=")[2])
+
+    def administer(self, host: str, path: str) -> Document:
+        """Returns a document of a host's administration interface."""
+        address = self.find_administration(host)
         reply = self._http.request(
             "GET", f"http://{address}{path}", timeout=5.0
         )
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,164 @@
+"""What the operating system and a host's metrics tell of a process."""
+
+import collections.abc
+import concurrent.futures
+import os
+import pathlib
+import re
+import time
+
+import urllib3
+
+from bench import fleet as fleet_module
+from bramleyfork.core import records
+
+_TICKS = os.sysconf("SC_CLK_TCK")
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+_THREADS = 8  # Hosts asked at once; more would load the bench itself.
+_TRAFFIC = re.compile(
+    r"^bramleyfork_peer_transport_(\w+)_total\{code=\"(\w+)\"\} (\S+)$", re.M
+)
+_DATA_KINDS = frozenset({"subrequest", "subreply", "cancel"})
+
+COUNTS = ("messages_in", "messages_out", "bytes_in", "bytes_out")
+
+
+class Sample(records.Record):
+    """Sums of one moment over all hosts.
+
+    Attributes:
+      at: Monotonic seconds.
+      cpu_s: Processor time used so far, seconds, by host.
+      memory_bytes: Resident memory by host.
+      traffic: Control traffic so far, by count and kind.
+      platform: Calls counted by the platform stand-in, by kind.
+    """
+
+    __slots__ = ("at", "cpu_s", "memory_bytes", "traffic", "platform")
+
+    def __init__(
+        self,
+        *,
+        at: float,
+        cpu_s: dict[str, float],
+        memory_bytes: dict[str, int],
+        traffic: dict[str, dict[str, float]],
+        platform: dict[str, int],
+    ):
+        self.at = at
+        self.cpu_s = cpu_s
+        self.memory_bytes = memory_bytes
+        self.traffic = traffic
+        self.platform = platform
+
+
+def ask_all(
+    ask: collections.abc.Callable[[str], object], hosts: list[str]
+) -> dict[str, object]:
+    """Returns the answers of several hosts, a few asked at a time."""
+    with concurrent.futures.ThreadPoolExecutor(_THREADS) as pool:
+        return dict(zip(hosts, pool.map(ask, hosts), strict=True))
+
+
+def read_cpu(pid: int) -> float:
+    """Returns the processor time a process has used, seconds."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / _TICKS
+
+
+def read_memory(pid: int) -> int:
+    """Returns the resident memory of a process, bytes."""
+    fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
+    return int(fields[1]) * _PAGE
+
+
+def take_sample(fleet: fleet_module.Fleet, *, closing: bool = False) -> Sample:
+    """Returns the sums of all running hosts now.
+
+    Args:
+      fleet: The fleet to measure.
+      closing: Whether it ends a measurement. Reading the metrics costs the
+        hosts processor time, which is kept out between two samples.
+    """
+    if closing:
+        at, cpu_s, memory_bytes = _read_processes(fleet)
+        traffic = _sum_traffic(fleet)
+    else:
+        traffic = _sum_traffic(fleet)
+        at, cpu_s, memory_bytes = _read_processes(fleet)
+    return Sample(
+        at=at,
+        cpu_s=cpu_s,
+        memory_bytes=memory_bytes,
+        traffic=traffic,
+        platform=fleet.platform.read("calls")["by_kind"],
+    )
+
+
+def compare_samples(first: Sample, last: Sample) -> dict[str, float]:
+    """Returns rates per host between two samples."""
+    seconds, hosts = last.at - first.at, len(last.cpu_s)
+    used = [last.cpu_s[name] - first.cpu_s[name] for name in last.cpu_s]
+    rates = {
+        "cpu_percent": 100 * sum(used) / seconds / hosts,
+        "cpu_percent_highest": 100 * max(used) / seconds,
+        "memory_mb": sum(last.memory_bytes.values()) / hosts / 1e6,
+        "memory_mb_highest": max(last.memory_bytes.values()) / 1e6,
+    }
+    for name in COUNTS:
+        rates[f"{name}_per_s"] = _sum_difference(
+            first.traffic[name], last.traffic[name]
+        ) / (seconds * hosts)
+    rates["platform_calls_per_s"] = (
+        _sum_difference(first.platform, last.platform) / seconds
+    )
+    return rates
+
+
+def split_traffic(first: Sample, last: Sample) -> dict[str, float]:
+    """Returns bytes sent per second and host by kind of message."""
+    scale = (last.at - first.at) * len(last.cpu_s)
+    before, after = first.traffic["bytes_out"], last.traffic["bytes_out"]
+    rates = {k: (v - before.get(k, 0)) / scale for k, v in after.items()}
+    return {kind: rate for kind, rate in rates.items() if rate}
+
+
+def _read_processes(
+    fleet: fleet_module.Fleet,
+) -> tuple[float, dict[str, float], dict[str, int]]:
+    pids = {name: d.process.pid for name, d in fleet.daemons.items()}
+    return (
+        time.monotonic(),
+        {name: read_cpu(pid) for name, pid in pids.items()},
+        {name: read_memory(pid) for name, pid in pids.items()},
+    )
+
+
+def _sum_traffic(fleet: fleet_module.Fleet) -> dict[str, dict[str, float]]:
+    http = urllib3.PoolManager(maxsize=_THREADS, retries=False)
+    found = ask_all(
+        lambda name: _read_traffic(http, fleet, name), list(fleet.daemons)
+    )
+    http.clear()
+    total: dict[str, dict[str, float]] = {name: {} for name in COUNTS}
+    for counts in found.values():
+        for name, kind, value in counts:
+            total[name][kind] = total[name].get(kind, 0) + value
+    return total
+
+
+def _sum_difference(before: dict[str, float], after: dict[str, float]) -> float:
+    return sum(after.values()) - sum(before.values())
+
+
+def _read_traffic(
+    http: urllib3.PoolManager, fleet: fleet_module.Fleet, name: str
+) -> list[tuple[str, str, float]]:
+    address = fleet.find_administration(name)
+    text = http.request("GET", f"http://{address}/metrics", timeout=10.0).data
+    return [
+        (count, kind, float(value))
+        for count, kind, value in _TRAFFIC.findall(text.decode())
+        if count in COUNTS and kind not in _DATA_KINDS
+    ]
--- a/src/bramleyfork/transports/peer_counters.py
+++ b/src/bramleyfork/transports/peer_counters.py
@@ -1,5 +1,7 @@
 """Counts of the traffic with other hosts."""
 
+import collections.abc
+
 from bramleyfork.codecs import formats
 
 
@@ -30,9 +32,11 @@
         self.dropped = 0
 
 
-class Counters:
+class Counters(collections.abc.Mapping):
     """Traffic by kind of message; changed by one thread, read by others.
 
+    As a mapping it gives each count of ``Traffic`` by kind, for the metrics.
+
     Attributes:
       kinds: Traffic by kind; every kind is present from the start.
     """
@@ -42,6 +46,17 @@
     def __init__(self):
         self.kinds = {kind: Traffic() for kind in formats.GROUPS}
 
+    def __getitem__(self, name: str) -> dict[str, int]:
+        if name not in Traffic.__slots__:
+            raise KeyError(name)
+        return {kind: getattr(t, name) for kind, t in self.kinds.items()}
+
+    def __iter__(self) -> collections.abc.Iterator[str]:
+        return iter(Traffic.__slots__)
+
+    def __len__(self) -> int:
+        return len(Traffic.__slots__)
+
     def count_in(self, kind: str, size: int) -> None:
         """Counts a received message of ``size`` bytes."""
         traffic = self.kinds[kind]
--- a/tests/transports/test_peer_links.py
+++ b/tests/transports/test_peer_links.py
@@ -126,3 +126,11 @@
     assert (total.messages_in, total.bytes_in) == (1, 10)
     assert (total.messages_out, total.bytes_out) == (2, 50)
     assert total.dropped == 1
+
+
+def test_counters_are_exported_as_metrics_by_kind():
+    # Guards against control traffic that operators and the bench cannot see.
+    counters = peer_counters.Counters()
+    counters.count_out("ping", 20)
+    assert counters["bytes_out"]["ping"] == 20
+    assert set(counters) == set(peer_counters.Traffic.__slots__)
