Measure the pure parts of control at large sizes in one process

Cause: a machine cannot run 6,700 daemons, but what each step costs at that size can be measured without a network. Change: bench/growth.py measures the check, ranks, shares, steps of every controller, plans, churn, tables and the listing, each with a fitted line. Before: no figures. After: one command with JSON and Markdown reports.

--- /dev/null
+++ b/bench/growth.py
@@ -0,0 +1,336 @@
+"""Measures processor time and memory of the pure parts at large sizes.
+
+    python -m bench.growth --only declaration --largest 68000 --label after
+
+Each size of each measurement runs in a child process of its own, so that
+memory is not that of the size before. Writes JSON and Markdown to bench/out/.
+"""
+
+import collections.abc
+import datetime
+import json
+import multiprocessing
+import pathlib
+import sys
+import time
+import typing
+
+from absl import app
+from absl import flags
+import msgpack
+
+from bench import fits
+from bench import growth_inputs as inputs
+from bramleyfork.codecs import frames
+from bramleyfork.codecs import listings as listing_codec
+from bramleyfork.configuration import declaration as declaration_module
+from bramleyfork.core import messages
+from bramleyfork.core import ranges
+from bramleyfork.core import registries
+from bramleyfork.core import requests
+from bramleyfork.decisions import listings
+from bramleyfork.decisions import membership
+from bramleyfork.decisions import shares
+from bramleyfork.decisions import snapshots
+
+_ONLY = flags.DEFINE_list("only", [], "Measurements to make; all if empty")
+_LARGEST = flags.DEFINE_integer("largest", 68_000, "Largest size to measure")
+_LABEL = flags.DEFINE_string("label", "growth", "Name of the report's files")
+
+_OUT = pathlib.Path(__file__).parent / "out"
+_LIMIT_S = 240.0  # For one size; the next ones are then left out.
+_LOSSES_A_DAY, _RESTARTS_A_DAY = 260, 3800
+_DAY_S = 86400.0
+
+Measure = collections.abc.Callable[[int], dict[str, float]]
+# Measurements by name; each is a function of the size with its sizes.
+MEASUREMENTS: registries.Registry[tuple[str, tuple[int, ...], Measure]] = (
+    registries.Registry(kind="measurement")
+)
+
+
+def measures(
+    name: str, size: str, sizes: tuple[int, ...]
+) -> collections.abc.Callable[[Measure], Measure]:
+    """Returns a decorator that registers a measurement.
+
+    Args:
+      name: Its name.
+      size: What the size counts.
+      sizes: Sizes to measure.
+    """
+
+    def store(measure: Measure) -> Measure:
+        MEASUREMENTS.register(name)((size, sizes, measure))
+        return measure
+
+    return store
+
+
+def _time(action: collections.abc.Callable[[], object], count: int = 1):
+    started = time.process_time()
+    for _ in range(count):
+        result = action()
+    return (time.process_time() - started) / count, result
+
+
+def _count_hosts(targets: int) -> int:
+    return max(10, min(6700, targets // 10))
+
+
+@measures("check", "targets", (100, 1000, 10_000, 68_000))
+def measure_check(targets: int) -> dict[str, float]:
+    """Checks a declaration, then one with one small part changed."""
+    hosts = _count_hosts(targets)
+    bodies = inputs.build_bodies(targets=targets, hosts=hosts)
+    changed = inputs.build_bodies(
+        targets=targets, hosts=hosts, revision=2, note="changed"
+    )
+    before = inputs.read_memory()
+    check = declaration_module.check_declaration
+    first_s, first = _time(lambda: check(bodies))
+    held = inputs.read_memory() - before
+    second_s, second = _time(lambda: check(changed))
+    both = inputs.read_memory() - before
+    assert first.is_ok()
+    assert second.is_ok()
+    return {
+        "part_bytes": sum(len(body) for body in bodies.values()),
+        "parts": len(bodies),
+        "first_check_s": first_s,
+        "check_after_change_s": second_s,
+        "memory_mb": held / 1e6,
+        "memory_of_two_revisions_mb": both / 1e6,
+    }
+
+
+@measures("rank", "hosts", (10, 100, 1000, 6700))
+def measure_rank(hosts: int) -> dict[str, float]:
+    """Ranks the hosts for one target."""
+    bodies = inputs.build_bodies(targets=200, hosts=hosts)
+    declaration = declaration_module.check_declaration(bodies).ok
+    names = list(declaration.targets.values())[:20]
+    seconds, _ = _time(
+        lambda: [shares.rank_hosts(t, declaration) for t in names]
+    )
+    return {
+        "rank_one_target_ms": seconds / len(names) * 1000,
+        "rank_68000_targets_s_extrapolated": seconds / len(names) * 68_000,
+    }
+
+
+@measures("declaration", "targets", (100, 1000, 10_000, 68_000))
+def measure_declaration(targets: int) -> dict[str, float]:
+    """Puts a declaration in force in every controller, then a changed one."""
+    hosts = _count_hosts(targets)
+    before = inputs.read_memory()
+    host = inputs.Host()
+    row: dict[str, float] = {}
+    cases = {"first": 0, "change": 0, "host_added": 1}
+    for revision, (case, added) in enumerate(cases.items(), start=1):
+        bodies = inputs.build_bodies(
+            targets=targets, hosts=hosts + added, revision=revision, note=case
+        )
+        row[f"{case}_configuration_s"] = host.publish(bodies)
+        del bodies
+        for name in host.controllers:
+            if name != "configuration":
+                row[f"{case}_{name}_s"] = host.step(name)
+        row[f"{case}_memory_mb"] = (inputs.read_memory() - before) / 1e6
+    return row
+
+
+@measures("plan", "services", (10, 100, 1000))
+def measure_plan(services: int) -> dict[str, float]:
+    """Plans a query over all services with 68 replicas of one range each."""
+    snapshot = requests.Snapshot(index_version=41, map_version=7)
+    step = ranges.KEY_SPACE // 4
+    holdings = {
+        f"shard-{service:05}": {
+            f"shard-{service:05}-{replica:02}": (
+                requests.Holding(
+                    snapshot=snapshot,
+                    key_range=ranges.KeyRange(
+                        low=replica % 4 * step, high=(replica % 4 + 1) * step
+                    ),
+                ),
+            )
+            for replica in range(inputs.REPLICAS)
+        }
+        for service in range(services)
+    }
+    seconds, plan = _time(lambda: snapshots.plan_query(holdings, frozenset()))
+    return {"plan_ms": seconds * 1000, "segments": len(plan.segments)}
+
+
+def _build_fleet(hosts: int) -> inputs.Host:
+    host = inputs.Host()
+    host.publish(inputs.build_bodies(targets=100, hosts=hosts))
+    updates = inputs.list_updates(hosts)
+    for begin in range(0, hosts, membership.UPDATES_PER_MESSAGE):
+        chosen = updates[begin : begin + membership.UPDATES_PER_MESSAGE]
+        host.receive(chosen[0].host, _build_ping(tuple(chosen)))
+    for name in host.controllers:
+        host.step(name)
+    host.now += 1.0
+    for name in host.controllers:
+        host.step(name)
+    return host
+
+
+def _build_ping(updates: tuple[messages.MemberUpdate, ...]) -> messages.Ping:
+    return messages.Ping(
+        to=inputs.name_host(0),
+        sequence=1,
+        revision=0,
+        digest="",
+        updates=updates,
+    )
+
+
+@measures("message", "hosts", (10, 100, 1000, 6700))
+def measure_message(hosts: int) -> dict[str, float]:
+    """Steps every controller for one heartbeat that holds no news."""
+    host = _build_fleet(hosts)
+    updates = inputs.list_updates(hosts)
+    spent = dict.fromkeys(host.controllers, 0.0)
+    count = 100
+    for turn in range(count):
+        host.now += 0.01
+        sender = updates[1 + turn % (hosts - 1)]
+        host.receive(sender.host, _build_ping((sender,)))
+        for name in host.controllers:
+            spent[name] += host.step(name)
+    row = {f"{name}_us": s / count * 1e6 for name, s in spent.items()}
+    return row | {"all_us": sum(row.values())}
+
+
+@measures("churn", "hosts", (10, 100, 1000, 6700))
+def measure_churn(hosts: int) -> dict[str, float]:
+    """Spreads a day's losses and restarts, in proportion to the fleet."""
+    host = _build_fleet(hosts)
+    updates = inputs.list_updates(hosts)
+    count = min(100, hosts - 1)
+    spent = dict.fromkeys(host.controllers, 0.0)
+    for turn in range(count):
+        changed = updates[1 + turn]
+        # A loss is a suspicion and a death, a restart a new incarnation.
+        for state, raised in (("suspect", 0), ("dead", 0), ("alive", 5000)):
+            news = changed.replace(
+                state=state, incarnation=changed.incarnation + raised
+            )
+            host.now += 0.3
+            host.receive(updates[-1].host, _build_ping((news,)))
+            for name in host.controllers:
+                spent[name] += host.step(name)
+    total = sum(spent.values()) / count
+    events = (_LOSSES_A_DAY + _RESTARTS_A_DAY) * hosts / 6700
+    sends = membership.compute_sends(hosts)
+    size = len(frames.FrameEncoder().encode(_build_ping((news,)), 0.0))
+    empty = len(frames.FrameEncoder().encode(_build_ping(()), 0.0))
+    return {
+        "one_loss_and_return_ms": total * 1000,
+        "day_cpu_s": total * events,
+        "day_cpu_percent": total * events / _DAY_S * 100,
+        "sends_of_a_piece_of_news": sends,
+        "update_bytes": size - empty,
+        # Three pieces of news per event.
+        "day_bytes_out_per_s": 3 * events * sends * (size - empty) / _DAY_S,
+    }
+
+
+@measures("tables", "hosts", (10, 100, 1000, 6700))
+def measure_tables(hosts: int) -> dict[str, float]:
+    """Counts the bytes of a table of members."""
+    encoder = frames.FrameEncoder()
+    before = inputs.read_memory()
+    updates = inputs.list_updates(hosts)
+    members = {}
+    for update in updates:
+        members[update.host] = membership.merge_update(
+            None, update, 0.0, direct=True
+        )
+    del updates
+    held = inputs.read_memory() - before
+    groups = membership.list_everything(members)
+    return {
+        "memory_mb": held / 1e6,
+        "messages_to_a_new_process": len(groups),
+        "bytes_to_a_new_process": sum(
+            len(encoder.encode(_build_ping(group), 0.0)) for group in groups
+        ),
+    }
+
+
+@measures("listing", "targets", (100, 1000, 10_000, 68_000))
+def measure_listing(targets: int) -> dict[str, float]:
+    """Decodes and compares a list of targets."""
+    body = inputs.build_listing(targets)
+    before = inputs.read_memory()
+    decode_s, decoded = _time(lambda: listing_codec.decode_listing(body))
+    held = inputs.read_memory() - before
+    rows = decoded.ok
+    present = {row.target: row for row in rows}
+    again = listing_codec.decode_listing(body).ok
+    compare_s, changed = _time(lambda: listings.find_changed(present, again))
+    assert not changed
+    packed = msgpack.packb([[r.target, r.state] for r in rows])
+    return {
+        "body_bytes": len(body),
+        "packed_bytes_without_holdings": len(packed),
+        "decode_s": decode_s,
+        "compare_s": compare_s,
+        "memory_mb": held / 1e6,
+    }
+
+
+def run_one(name: str, size: int) -> dict[str, typing.Any]:
+    """Returns one row; runs in a child process."""
+    size_name, _, measure = MEASUREMENTS.find(name)
+    return {size_name: size, **measure(size)}
+
+
+def run_measurement(name: str, largest: int) -> dict[str, typing.Any]:
+    """Returns the report of all sizes of one measurement."""
+    size_name, sizes, _ = MEASUREMENTS.find(name)
+    rows: list[dict[str, typing.Any]] = []
+    context = multiprocessing.get_context("spawn")
+    for size in sizes:
+        if size > largest:
+            continue
+        with context.Pool(1) as pool:
+            waiting = pool.apply_async(run_one, (name, size))
+            try:
+                rows.append(waiting.get(_LIMIT_S))
+            except multiprocessing.TimeoutError:
+                rows.append({size_name: size, "error": f"over {_LIMIT_S} s"})
+                break
+    return {
+        "started": datetime.datetime.now(datetime.UTC).isoformat(),
+        "command": f"python -m bench.growth --only {name}",
+        "rows": rows,
+        "fits": fits.fit_rows(rows, size_name),
+    }
+
+
+def main(argv: list[str]) -> int:
+    """Makes the measurements and writes the report."""
+    del argv
+    names = _ONLY.value or MEASUREMENTS.list_names()
+    _OUT.mkdir(exist_ok=True)
+    reports, texts = {}, []
+    for name in names:
+        reports[name] = run_measurement(name, _LARGEST.value)
+        size_name = MEASUREMENTS.find(name)[0]
+        texts.append(f"## {name}\n\n")
+        texts.append(fits.render_table(reports[name], size_name) + "\n")
+        path = _OUT / f"{_LABEL.value}.json"
+        path.write_text(json.dumps(reports, indent=2))
+        path.with_suffix(".md").write_text("".join(texts))
+        sys.stdout.write("".join(texts[-2:]))
+        sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/bench/growth_inputs.py
@@ -0,0 +1,242 @@
+"""Declarations, listings and boards of any size for bench.growth."""
+
+import gc
+import hashlib
+import json
+import os
+import time
+
+from bench import processes
+from bramleyfork import controllers as controller_package
+from bramleyfork.configuration import manifests
+from bramleyfork.configuration import settings as settings_module
+from bramleyfork.core import blackboard
+from bramleyfork.core import catalogues
+from bramleyfork.core import controllers
+from bramleyfork.core import messages
+from bramleyfork.core import platform_calls
+from bramleyfork.core import sections
+
+REGIONS = 5
+DATA_CENTRES = 16
+REPLICAS = 68  # Targets of each service at the size of the design.
+_PART_BYTES = 900_000  # Below the platform's limit of a value.
+
+_TARGET = """
+[[targets]]
+name = "{name}"
+service = "{service}"
+data_centre = "{centre}"
+address = "{ip}:9000"
+"""
+_HOST = """
+[[hosts]]
+name = "{name}"
+data_centre = "{centre}"
+peer_address = "{ip}:7000"
+caller_address = "{ip}:8080"
+"""
+_SERVICE = """
+[[services]]
+name = "{name}"
+slots = 2
+queue = 4
+connections = 25
+"""
+_LOOKUPS = """
+[[lookups]]
+name = "availability"
+services = ["shard-*"]
+# {note}
+"""
+
+
+def name_centre(number: int) -> str:
+    """Returns the data centre that a numbered thing is in."""
+    return f"dc-{number % DATA_CENTRES:02}"
+
+
+def name_host(number: int) -> str:
+    """Returns the name of a host."""
+    return f"{name_centre(number)}-host-{number:05}"
+
+
+def name_target(number: int) -> str:
+    """Returns the name of a target."""
+    return f"shard-{number // REPLICAS:05}-{number % REPLICAS:02}"
+
+
+def build_bodies(
+    *, targets: int, hosts: int, revision: int = 1, note: str = ""
+) -> dict[str, bytes]:
+    """Returns manifest and parts of a declaration.
+
+    Args:
+      targets: Number of targets; services have 68 each.
+      hosts: Number of hosts.
+      revision: Revision of the manifest.
+      note: Text of a comment in the smallest part, to change it.
+    """
+    head = '[deployment]\nname = "grown"\n' + "".join(
+        f'[[data_centres]]\nname = "{name_centre(n)}"\n'
+        f'region = "region-{n % REGIONS}"\n'
+        for n in range(DATA_CENTRES)
+    )
+    services = (targets + REPLICAS - 1) // REPLICAS
+    tables = {
+        "hosts": [
+            _HOST.format(
+                name=name_host(n), centre=name_centre(n), ip=_build_ip(1, n)
+            )
+            for n in range(hosts)
+        ],
+        "services": [
+            _SERVICE.format(name=f"shard-{n:05}") for n in range(services)
+        ],
+        "targets": [
+            _TARGET.format(
+                name=name_target(n),
+                service=f"shard-{n // REPLICAS:05}",
+                centre=name_centre(n),
+                ip=_build_ip(8, n),
+            )
+            for n in range(targets)
+        ],
+    }
+    parts = {
+        "fleet": head.encode(),
+        "lookups": _LOOKUPS.format(note=note).encode(),
+    }
+    for table, rows in tables.items():
+        parts.update(_split(table, rows))
+    return parts | {
+        manifests.MANIFEST_KEY: manifests.build_manifest(
+            parts, revision=revision
+        )
+    }
+
+
+def build_listing(targets: int) -> bytes:
+    """Returns a list of targets as the platform serves it."""
+    rows = [
+        {
+            "name": name_target(n),
+            "state": "live",
+            "holdings": [[41, 7, 0, 65536]],
+        }
+        for n in range(targets)
+    ]
+    return json.dumps({"targets": rows}, separators=(",", ":")).encode()
+
+
+def list_updates(hosts: int) -> list[messages.MemberUpdate]:
+    """Returns news that all hosts are alive."""
+    return [
+        messages.MemberUpdate(
+            host=name_host(number),
+            incarnation=1_796_000_000_000 + number,
+            state="alive",
+            load=0.25,
+            leased=True,
+        )
+        for number in range(hosts)
+    ]
+
+
+def read_memory() -> int:
+    """Returns the resident memory of this process, bytes."""
+    gc.collect()
+    return processes.read_memory(os.getpid())
+
+
+class Host:
+    """All controllers of one host on one board, stepped by hand."""
+
+    def __init__(self):
+        catalogues.load_modules(controller_package)
+        self.board = blackboard.Blackboard(sections=sections.SECTIONS)
+        self.settings = settings_module.Settings(
+            deployment="grown",
+            host=name_host(0),
+            data_centre=name_centre(0),
+            incarnation=1_796_000_000_000,
+            peer_address="127.0.0.1:7000",
+            caller_address="127.0.0.1:8080",
+            administration_address="127.0.0.1:8081",
+            platform_address="127.0.0.1:9000",
+        )
+        self.controllers = {
+            name: built(board=self.board, settings=self.settings)
+            for name, built in controllers.CONTROLLERS.list_items()
+        }
+        grant = self.board.grant_writer
+        self.results = grant("platform_results", "platform_transport")
+        self.control = grant("peer_control", "peer_transport")
+        self.now = 1000.0
+
+    def step(self, name: str) -> float:
+        """Steps one controller; returns the processor time, seconds."""
+        started = time.process_time()
+        self.controllers[name].step(self.now)
+        return time.process_time() - started
+
+    def publish(self, bodies: dict[str, bytes]) -> float:
+        """Puts a declaration in force; returns the processor time.
+
+        The time of the configuration controller is that of the check, plus
+        that of handling the answers.
+        """
+        reads = self.board.find_log("platform_reads").open_cursor()
+        revision = manifests.read_manifest(
+            bodies[manifests.MANIFEST_KEY]
+        ).ok.revision
+        spent = 0.0
+        self._answer("/v1/watch/manifest", bodies[manifests.MANIFEST_KEY])
+        for _ in range(4):
+            spent += self.step("configuration")
+            for read in reads.take():
+                key = read.path.removeprefix("/v1/values/")
+                if key != read.path:
+                    self._answer(read.path, bodies[key])
+            entry = self.board.find_table("declaration").get("in_force")
+            if entry and entry.declaration.revision == revision:
+                return spent
+        raise RuntimeError(f"revision {revision} is not in force")
+
+    def receive(self, sender: str, message: object) -> None:
+        """Delivers a control message."""
+        self.control.append(
+            messages.Received(
+                sender=sender, received_at=self.now, message=message
+            )
+        )
+
+    def _answer(self, path: str, body: bytes) -> None:
+        self.results.append(
+            platform_calls.PlatformResult(
+                purpose="configuration",
+                path=path,
+                sent_at=self.now,
+                received_at=self.now,
+                status=200,
+                etag=hashlib.sha256(body).hexdigest(),
+                body=body,
+            )
+        )
+
+
+def _split(table: str, rows: list[str]) -> dict[str, bytes]:
+    parts: dict[str, bytes] = {}
+    held, size = [], 0
+    for row in rows:
+        if size + len(row) > _PART_BYTES:
+            parts[f"{table}-{len(parts)}"] = "".join(held).encode()
+            held, size = [], 0
+        held.append(row)
+        size += len(row)
+    parts[f"{table}-{len(parts)}"] = "".join(held).encode()
+    return parts
+
+
+def _build_ip(net: int, number: int) -> str:
+    return f"10.{net + number // 65536}.{number // 256 % 256}.{number % 256}"
