Rank only the hosts of a target's data centre, and only when touched

Cause: after each revision every host ordered all hosts for all targets, twice (ownership and routing). Change: decisions/ranking.py finds the first two ranks from the hosts of the target's data centre, keeps them between revisions and, after a change of hosts, hashes only the added ones; ownership computes shares again only for touched targets; routing finds owners when a target is first chosen. A reply for a target that is no longer declared no longer raises.

--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -8,15 +8,13 @@
 from bramleyfork.core import replies
 from bramleyfork.core import requests
 from bramleyfork.decisions import latencies
+from bramleyfork.decisions import ranking
 from bramleyfork.decisions import replicas
 from bramleyfork.decisions import retries
-from bramleyfork.decisions import shares
 from bramleyfork.decisions import snapshots
 
 # A target or owner that failed is avoided for this time if there is a choice.
 _AVOID_S = 1.0
-# Ranks of hosts that hold a share of a target under two-level fan-out.
-_OWNER_RANKS = 2
 
 
 class TargetStats:
@@ -52,7 +50,7 @@
         "service_latency",
         "_random",
         "_stats",
-        "_owners",
+        "_ranking",
         "_distances",
         "_avoided_owners",
         "_heard_owners",
@@ -67,8 +65,8 @@
         self.service_latency: dict[str, latencies.LatencyWindow] = {}
         self._random = random.Random(seed)
         self._stats: dict[str, TargetStats] = {}
-        self._owners: dict[str, tuple[str, ...]] = {}
-        self._distances: dict[str, int] = {}
+        self._ranking = ranking.Ranking()
+        self._distances: dict[str, int] = {}  # By data centre.
         self._avoided_owners: dict[str, float] = {}
         self._heard_owners: dict[str, float] = {}
         self._fresh: dict[str, tuple[float, tuple[requests.Holding, ...]]] = {}
@@ -76,16 +74,22 @@
         self._plans_version = -1
 
     def use_declaration(self, declaration: declarations.Declaration) -> None:
-        """Recomputes owners and distances; keeps experience."""
+        """Takes over hosts and targets; keeps experience.
+
+        Owners are found when a target is first chosen, as a declaration may
+        have many more targets than this host sends to.
+        """
         self.declaration = declaration
         self._plans.clear()
-        own_centre = declaration.hosts.get(self.host)
-        for target in declaration.targets.values():
-            self._stats.setdefault(target.name, TargetStats())
-            self._owners[target.name] = self._list_owners(target)
-            self._distances[target.name] = _measure_distance(
-                own_centre, target, declaration
-            )
+        self._ranking.use_declaration(declaration)
+        for name in self._stats.keys() - declaration.targets.keys():
+            del self._stats[name]
+            self._fresh.pop(name, None)
+        own = declaration.hosts.get(self.host)
+        self._distances = {
+            centre: _measure_distance(own, centre, declaration)
+            for centre in declaration.data_centres
+        }
         for service in declaration.services:
             self.service_latency.setdefault(service, latencies.LatencyWindow())
 
@@ -140,7 +144,7 @@
         heard of or has failed lately is taken only if there is no better one.
         """
         choices = []
-        for rank, owner in enumerate(self._owners.get(target, ())):
+        for rank, owner in enumerate(self._list_owners(target)):
             if (target, owner) in refused:
                 continue
             penalty = self._judge_owner(owner, members.get(owner), now)
@@ -154,7 +158,7 @@
 
     def note_send(self, target: str) -> None:
         """Counts an attempt."""
-        self._stats[target].outstanding += 1
+        self._find_stats(target).outstanding += 1
 
     def note_end(self, target: str) -> None:
         """Counts an attempt whose reply is no longer awaited."""
@@ -176,15 +180,15 @@
     ) -> bool:
         """Learns from a reply; returns whether the target's word changed."""
         stats = self._stats.get(reply.target)
-        if stats is None:
+        target = self.declaration.targets.get(reply.target)
+        if stats is None or target is None:
             return False
         self._heard_owners[reply.owner] = now
         stats.queue_length = reply.queue_length
         if reply.code == "ok":
             stats.latency.record(elapsed_s)
             stats.avoid_until = 0.0
-            service = self.declaration.targets[reply.target].service
-            self.service_latency[service].record(elapsed_s)
+            self.service_latency[target.service].record(elapsed_s)
         elif retries.blames_target(reply):
             stats.avoid_until = now + _AVOID_S
         if reply.code == "owner_lost":
@@ -198,11 +202,19 @@
         self._plans.clear()
         return True
 
-    def _list_owners(self, target: declarations.Target) -> tuple[str, ...]:
+    def _find_stats(self, target: str) -> TargetStats:
+        stats = self._stats.get(target)
+        if stats is None:
+            stats = self._stats[target] = TargetStats()
+        return stats
+
+    def _list_owners(self, target: str) -> tuple[str, ...]:
+        declared = self.declaration.targets.get(target)
+        if declared is None:
+            return ()
         if self.declaration.strategy == "direct":
             return (self.host,)
-        ranked = shares.rank_hosts(target, self.declaration)
-        return tuple(ranked[:_OWNER_RANKS])
+        return self._ranking.find_owners(declared)
 
     def _judge_owner(
         self, owner: str, member: fleet.Member | None, now: float
@@ -221,14 +233,18 @@
         return penalty
 
     def _build_candidate(self, name: str, now: float) -> replicas.Candidate:
-        stats = self._stats[name]
+        stats = self._find_stats(name)
+        # A query that runs while the declaration changes may still name a
+        # target that is not declared any more.
+        target = self.declaration.targets.get(name)
+        centre = target.data_centre if target is not None else ""
         return replicas.Candidate(
             target=name,
             outstanding=stats.outstanding,
             queue_length=stats.queue_length,
             latency_s=stats.latency.mean_s,
             failing=stats.avoid_until > now,
-            distance=self._distances[name],
+            distance=self._distances.get(centre, 2),
         )
 
     def _collect_holdings(
@@ -252,13 +268,13 @@
 
 def _measure_distance(
     own: declarations.Host | None,
-    target: declarations.Target,
+    data_centre: str,
     declaration: declarations.Declaration,
 ) -> int:
     if own is None:
         return 2
-    if own.data_centre == target.data_centre:
+    if own.data_centre == data_centre:
         return 0
     centres = declaration.data_centres
     own_region = centres[own.data_centre].region
-    return 1 if own_region == centres[target.data_centre].region else 2
+    return 1 if own_region == centres[data_centre].region else 2
--- a/src/bramleyfork/controllers/ownership.py
+++ b/src/bramleyfork/controllers/ownership.py
@@ -14,6 +14,7 @@
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import admission
 from bramleyfork.decisions import lease as lease_decisions
+from bramleyfork.decisions import ranking
 from bramleyfork.decisions import shares
 from bramleyfork.decisions import warmup
 
@@ -48,6 +49,7 @@
 
     __slots__ = (
         "_declaration",
+        "_ranking",
         "_owned",
         "_running",
         "_busy",
@@ -60,6 +62,7 @@
     def start(self) -> None:
         """Sets up empty state."""
         self._declaration: declarations.Declaration | None = None
+        self._ranking = ranking.Ranking()
         self._owned: dict[str, _owned_target.OwnedTarget] = {}
         self._running: dict[str, str] = {}  # Attempt id to target.
         self._busy: set[str] = set()  # Targets with queued sub-requests.
@@ -84,27 +87,35 @@
         entry = self.table("declaration").get("in_force")
         if entry is None or entry.declaration is self._declaration:
             return
-        first = self._declaration is None
-        self._declaration = entry.declaration
-        for target in entry.declaration.targets.values():
-            self._update_share(target, first, now)
-        for name in set(self._owned) - set(entry.declaration.targets):
+        before, declaration = self._declaration, entry.declaration
+        self._declaration = declaration
+        centres = self._ranking.use_declaration(declaration)
+        for target in ranking.list_touched(before, declaration, centres):
+            self._update_share(target, before is None, now)
+        for name in self._owned.keys() - declaration.targets.keys():
             self._drop_target(name, now)
 
+    def _find_share(self, target: declarations.Target) -> shares.Share:
+        declaration = self._declaration
+        own = declaration.hosts.get(self.settings.host)
+        if own is None:
+            return shares.NO_SHARE
+        rank = shares.OWNERS
+        if self._ranking.may_own(own, target.data_centre):
+            owners = self._ranking.find_owners(target)
+            if own.name in owners:
+                rank = owners.index(own.name)
+        return shares.compute_share(
+            service=declaration.services[target.service],
+            strategy=declaration.strategy,
+            rank=rank,
+            host_count=len(declaration.hosts),
+        )
+
     def _update_share(
         self, target: declarations.Target, first: bool, now: float
     ) -> None:
-        declaration = self._declaration
-        ranked = shares.rank_hosts(target, declaration)
-        if self.settings.host in ranked:
-            share = shares.compute_share(
-                service=declaration.services[target.service],
-                strategy=declaration.strategy,
-                rank=ranked.index(self.settings.host),
-                host_count=len(ranked),
-            )
-        else:
-            share = shares.NO_SHARE
+        share = self._find_share(target)
         owned = self._owned.get(target.name)
         if owned is None and share == shares.NO_SHARE:
             return
@@ -113,7 +124,7 @@
             self._owned[target.name] = owned
             self.writer("owned").put(target.name, owned)
         owned.address = target.address
-        owned.service = declaration.services[target.service]
+        owned.service = self._declaration.services[target.service]
         owned.change_share(share, now)
         if not first:
             return
--- /dev/null
+++ b/src/bramleyfork/decisions/ranking.py
@@ -0,0 +1,182 @@
+"""The first hosts in the order of claims on targets, kept between revisions.
+
+``shares.rank_hosts`` orders all hosts for one target. Only the first two hold
+shares, and they are nearly always in the target's own data centre, so that
+the other hosts need no hash.
+"""
+
+import collections.abc
+import heapq
+
+from bramleyfork.core import declarations
+from bramleyfork.core import records
+from bramleyfork.decisions import shares
+
+_OWNERS = shares.OWNERS
+
+# A host's hash for one target with its name; orders hosts of one tier.
+Claim = tuple[bytes, str]
+
+
+class Claims(records.Record):
+    """The first hosts of one target.
+
+    Attributes:
+      data_centre: Data centre of the target when they were computed.
+      first: The first hosts of the target's data centre, in order.
+      owners: Names of the first hosts of all, in order.
+    """
+
+    __slots__ = ("data_centre", "first", "owners")
+
+    def __init__(
+        self,
+        *,
+        data_centre: str,
+        first: tuple[Claim, ...],
+        owners: tuple[str, ...],
+    ):
+        self.data_centre = data_centre
+        self.first = first
+        self.owners = owners
+
+
+class Ranking:
+    """Finds the owners of targets, each at most once per change of hosts."""
+
+    __slots__ = ("_by_centre", "_by_region", "_centres", "_claims")
+
+    def __init__(self):
+        self._by_centre: dict[str, dict[str, None]] = {}
+        self._by_region: dict[str, tuple[str, ...]] = {}
+        self._centres: dict[str, str] = {}  # Regions by data centre.
+        self._claims: dict[str, Claims] = {}
+
+    def use_declaration(
+        self, declaration: declarations.Declaration
+    ) -> frozenset[str]:
+        """Takes over the declared hosts.
+
+        Returns:
+          The data centres whose targets may have other owners than before.
+        """
+        by_centre: dict[str, dict[str, None]] = {}
+        for host in declaration.hosts.values():
+            by_centre.setdefault(host.data_centre, {})[host.name] = None
+        regions = {c.name: c.region for c in declaration.data_centres.values()}
+        before, self._by_centre = self._by_centre, by_centre
+        changed = {
+            centre
+            for centre in before.keys() | by_centre.keys()
+            if before.get(centre, {}).keys() != by_centre.get(centre, {}).keys()
+        }
+        if changed or regions != self._centres:
+            changed |= self._list_dependent(before, regions)
+            self._centres = regions
+            self._update_claims(changed, before)
+        for name in self._claims.keys() - declaration.targets.keys():
+            del self._claims[name]
+        return frozenset(changed)
+
+    def may_own(self, host: declarations.Host, data_centre: str) -> bool:
+        """Returns whether a host can be an owner of targets somewhere."""
+        if host.data_centre == data_centre:
+            return True
+        return len(self._by_centre.get(data_centre, ())) < _OWNERS
+
+    def find_owners(self, target: declarations.Target) -> tuple[str, ...]:
+        """Returns the first hosts of ``shares.rank_hosts``, in order."""
+        claims = self._claims.get(target.name)
+        if claims is None or claims.data_centre != target.data_centre:
+            claims = self._compute_claims(target.name, target.data_centre)
+            self._claims[target.name] = claims
+        return claims.owners
+
+    def _list_dependent(
+        self, before: dict[str, dict[str, None]], regions: dict[str, str]
+    ) -> set[str]:
+        """Returns the data centres whose targets have owners elsewhere.
+
+        They depend on every host list and on the regions.
+        """
+        return {
+            centre
+            for centre in regions.keys() | self._centres.keys()
+            if len(self._by_centre.get(centre, ())) < _OWNERS
+            or len(before.get(centre, ())) < _OWNERS
+        }
+
+    def _update_claims(
+        self, changed: set[str], before: dict[str, dict[str, None]]
+    ) -> None:
+        for name, claims in list(self._claims.items()):
+            centre = claims.data_centre
+            if centre not in changed:
+                continue
+            old, new = before.get(centre, {}), self._by_centre.get(centre, {})
+            gone = any(host not in new for _, host in claims.first)
+            if gone or len(claims.first) < _OWNERS:
+                del self._claims[name]
+                continue
+            added = [(shares.hash_pair(h, name), h) for h in new.keys() - old]
+            first = tuple(heapq.nsmallest(_OWNERS, [*claims.first, *added]))
+            self._claims[name] = claims.replace(
+                first=first, owners=tuple(host for _, host in first)
+            )
+
+    def _compute_claims(self, target: str, data_centre: str) -> Claims:
+        near = self._by_centre.get(data_centre, {})
+        first = _choose_first(near, target, _OWNERS)
+        owners = [host for _, host in first]
+        if len(owners) < _OWNERS:
+            region = self._centres.get(data_centre)
+            farther: tuple[list[str], list[str]] = ([], [])
+            for centre, hosts in self._by_centre.items():
+                if centre != data_centre:
+                    same_region = self._centres.get(centre) == region
+                    farther[0 if same_region else 1].extend(hosts)
+            for hosts in farther:
+                chosen = _choose_first(hosts, target, _OWNERS - len(owners))
+                owners.extend(host for _, host in chosen)
+        return Claims(
+            data_centre=data_centre, first=first, owners=tuple(owners)
+        )
+
+
+def _choose_first(
+    hosts: collections.abc.Iterable[str], target: str, count: int
+) -> tuple[Claim, ...]:
+    claims = ((shares.hash_pair(host, target), host) for host in hosts)
+    return tuple(heapq.nsmallest(count, claims))
+
+
+def list_touched(
+    before: declarations.Declaration | None,
+    after: declarations.Declaration,
+    data_centres: collections.abc.Container[str],
+) -> list[declarations.Target]:
+    """Returns the targets of ``after`` whose shares may differ from before.
+
+    Args:
+      before: The declaration in force before, if any.
+      after: The one that replaces it.
+      data_centres: Those whose targets have got other owners.
+    """
+    if before is None or before.strategy != after.strategy:
+        return list(after.targets.values())
+    # Equal parts of a budget depend on the number of hosts.
+    if len(before.hosts) != len(after.hosts) and after.strategy != "owner":
+        return list(after.targets.values())
+    services = {
+        name
+        for name, service in after.services.items()
+        if before.services.get(name) != service
+    }
+    present = before.targets
+    return [
+        target
+        for name, target in after.targets.items()
+        if target.service in services
+        or target.data_centre in data_centres
+        or (present.get(name) is not target and present.get(name) != target)
+    ]
--- a/src/bramleyfork/decisions/shares.py
+++ b/src/bramleyfork/decisions/shares.py
@@ -46,7 +46,10 @@
 
 NO_SHARE = Share(connections=0, in_flight=0, cold_in_flight=0, cold_rate=0.0)
 
-# Ways to divide a budget: (budget, rank from 0, number of hosts) -> part.
+OWNERS = 2  # First ranks, which a strategy may treat unlike all others.
+
+# Ways to divide a budget: (budget, rank from 0, number of hosts) -> part. All
+# ranks from OWNERS on must get the same, as only the first ones are computed.
 STRATEGIES: registries.Registry = registries.Registry(kind="strategy")
 
 
@@ -79,13 +82,14 @@
 
     Hosts in the target's data centre come first, then hosts in its region, then
     the rest; within each group the order is by rendezvous hashing.
+    ``ranking`` finds the first ranks without ordering all hosts.
     """
     region = declaration.data_centres[target.data_centre].region
 
     def sort_key(host: declarations.Host) -> tuple[int, bytes]:
         return (
             _measure_distance(host, target, region, declaration),
-            _hash_pair(host.name, target.name),
+            hash_pair(host.name, target.name),
         )
 
     ordered = sorted(declaration.hosts.values(), key=sort_key)
@@ -138,6 +142,7 @@
     return 1 if host_region == region else 2
 
 
-def _hash_pair(host: str, target: str) -> bytes:
+def hash_pair(host: str, target: str) -> bytes:
+    """Returns the hash that orders hosts for a target, lowest first."""
     text = f"{host}\0{target}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
