Check configurations in a thread of their own

Cause: the check ran on the control loop, where one of 68,000 targets takes 11.6 s and a changed small part 0.76 s of processor time, while heartbeats are to be answered within 200 ms. Change: the configuration controller orders a check through the section checks; the transport checker answers through check_results. One check runs at a time, so that revisions faster than checks still come in force. A fault of the check is reported as a refusal.

--- a/bench/growth.py
+++ b/bench/growth.py
@@ -12,6 +12,7 @@
 import multiprocessing
 import pathlib
 import sys
+import threading
 import time
 import typing
 
@@ -41,6 +42,7 @@
 _LIMIT_S = 240.0  # For one size; the next ones are then left out.
 _LOSSES_A_DAY, _RESTARTS_A_DAY = 260, 3800
 _DAY_S = 86400.0
+_TICK_S = 0.005  # Between two wake-ups of the thread that measures delays.
 
 Measure = collections.abc.Callable[[int], dict[str, float]]
 # Measurements by name; each is a function of the size with its sizes.
@@ -104,6 +106,36 @@
     }
 
 
+def _watch_delays(stopped: threading.Event, delays: list[float]) -> None:
+    while not stopped.is_set():
+        wanted = time.monotonic() + _TICK_S
+        time.sleep(_TICK_S)
+        delays.append(time.monotonic() - wanted)
+
+
+@measures("delay", "targets", (100, 1000, 10_000, 68_000))
+def measure_delay(targets: int) -> dict[str, float]:
+    """Measures how late another thread wakes while a check runs."""
+    sys.setswitchinterval(0.002)  # As in the daemon.
+    hosts = _count_hosts(targets)
+    row: dict[str, float] = {}
+    kept = []
+    for revision in (1, 2, 3):
+        bodies = inputs.build_bodies(
+            targets=targets, hosts=hosts, revision=revision, note=str(revision)
+        )
+        stopped, delays = threading.Event(), []
+        watch = threading.Thread(target=_watch_delays, args=(stopped, delays))
+        watch.start()
+        time.sleep(0.1)
+        kept.append(declaration_module.check_declaration(bodies).ok)
+        stopped.set()
+        watch.join()
+        row[f"revision_{revision}_highest_delay_ms"] = max(delays) * 1000
+        row[f"revision_{revision}_late_200_ms"] = sum(d > 0.2 for d in delays)
+    return row
+
+
 @measures("rank", "hosts", (10, 100, 1000, 6700))
 def measure_rank(hosts: int) -> dict[str, float]:
     """Ranks the hosts for one target."""
--- a/bench/growth_inputs.py
+++ b/bench/growth_inputs.py
@@ -16,6 +16,7 @@
 from bramleyfork.core import messages
 from bramleyfork.core import platform_calls
 from bramleyfork.core import sections
+from bramleyfork.transports import checker
 
 REGIONS = 5
 DATA_CENTRES = 16
@@ -172,6 +173,7 @@
         grant = self.board.grant_writer
         self.results = grant("platform_results", "platform_transport")
         self.control = grant("peer_control", "peer_transport")
+        self.checked = grant("check_results", "checker")
         self.now = 1000.0
 
     def step(self, name: str) -> float:
@@ -183,21 +185,24 @@
     def publish(self, bodies: dict[str, bytes]) -> float:
         """Puts a declaration in force; returns the processor time.
 
-        The time of the configuration controller is that of the check, plus
-        that of handling the answers.
+        The time is that of the configuration controller alone; the check runs
+        in another thread.
         """
         reads = self.board.find_log("platform_reads").open_cursor()
+        orders = self.board.find_log("checks").open_cursor()
         revision = manifests.read_manifest(
             bodies[manifests.MANIFEST_KEY]
         ).ok.revision
         spent = 0.0
         self._answer("/v1/watch/manifest", bodies[manifests.MANIFEST_KEY])
-        for _ in range(4):
+        for _ in range(6):
             spent += self.step("configuration")
             for read in reads.take():
                 key = read.path.removeprefix("/v1/values/")
                 if key != read.path:
                     self._answer(read.path, bodies[key])
+            for order in orders.take():
+                self.checked.append(checker.run_check(order, "grown"))
             entry = self.board.find_table("declaration").get("in_force")
             if entry and entry.declaration.revision == revision:
                 return spent
--- a/src/bramleyfork/controllers/configuration.py
+++ b/src/bramleyfork/controllers/configuration.py
@@ -3,9 +3,9 @@
 import logging
 import typing
 
-from bramleyfork.configuration import declaration
 from bramleyfork.configuration import manifests
 from bramleyfork.controllers import declaration_table
+from bramleyfork.core import checks
 from bramleyfork.core import controllers
 from bramleyfork.core import declarations
 from bramleyfork.core import messages
@@ -33,8 +33,8 @@
 
 @controllers.register(
     "configuration",
-    reads=("platform_results", "peer_control", "members"),
-    writes=("platform_reads", "declaration", "configuration_out"),
+    reads=("platform_results", "peer_control", "members", "check_results"),
+    writes=("platform_reads", "declaration", "configuration_out", "checks"),
 )
 class ConfigurationController(controllers.Controller):
     """Moves this host upward in the order of configurations.
@@ -46,6 +46,7 @@
 
     __slots__ = (
         "_candidate",
+        "_checking",
         "_heard",
         "_last_word",
         "_offer_at",
@@ -59,6 +60,8 @@
     def start(self) -> None:
         """Sets up state before the first step."""
         self._candidate: candidates.Candidate | None = None
+        # The candidate that is being checked, in another thread.
+        self._checking: candidates.Candidate | None = None
         self._heard: set[str] = set()
         own = self.settings.peer_address
         if all(seed == own for seed in self.settings.seeds):
@@ -84,6 +87,8 @@
                 self._take_result(result, now)
         for received in self.take("peer_control"):
             self._take_message(received, now)
+        for result in self.take("check_results"):
+            self._take_check(result, now)
         self._advance(now)
         self._look_again(now)
         self._plan, reads = pacing.plan_reads(
@@ -287,8 +292,10 @@
             return
         missing = candidates.list_missing(candidate)
         if not missing:
-            if self._may_start(now):
-                self._finish_candidate(candidate, now)
+            # One check at a time: with revisions faster than checks, each
+            # check begun still ends with a revision in force.
+            if self._checking is None and self._may_start(now):
+                self._order_check(candidate)
             return
         if candidates.is_waiting(candidate, now):
             return
@@ -327,17 +334,22 @@
             source=source, asked_at=now, answer_by=now + patience_s
         )
 
-    def _finish_candidate(
-        self, candidate: candidates.Candidate, now: float
-    ) -> None:
-        self._candidate = None
-        checked = declaration.check_for_deployment(
-            candidate.bodies, self.settings.deployment
+    def _order_check(self, candidate: candidates.Candidate) -> None:
+        self._checking = candidate
+        self.writer("checks").append(
+            checks.CheckOrder(
+                digest=candidate.version.digest, bodies=candidate.bodies
+            )
         )
-        if checked.is_ok():
-            self._put_in_force(checked.ok, candidate, now)
-            return
-        self._table.refuse(candidate.version, checked.error, now)
+
+    def _take_check(self, result: checks.CheckResult, now: float) -> None:
+        checked, self._checking = self._checking, None
+        if self._candidate and self._candidate.version == checked.version:
+            self._candidate = None
+        if result.declaration is None:
+            self._table.refuse(checked.version, result.problems, now)
+        elif revisions.is_newer(checked.version, self._table.version):
+            self._put_in_force(result.declaration, checked, now)
 
     def _put_in_force(
         self,
@@ -388,6 +400,6 @@
         if self._candidate is not None:
             if candidates.list_missing(self._candidate):
                 times.append(self._candidate.answer_by)
-            else:
+            elif self._checking is None:
                 times.append(self._started_at + _START_WAIT_S)
         return min(times)
--- a/src/bramleyfork/core/sections.py
+++ b/src/bramleyfork/core/sections.py
@@ -29,6 +29,8 @@
     ("platform_results", LOG, "platform_transport"),
     ("platform_reads", LOG, "configuration"),
     ("declaration", TABLE, "configuration"),
+    ("checks", LOG, "configuration"),
+    ("check_results", LOG, "checker"),
     ("configuration_out", LOG, "configuration"),
     ("listing_reads", LOG, "listing"),
     ("listing", TABLE, "listing"),
--- a/tests/controllers/configuration_rig.py
+++ b/tests/controllers/configuration_rig.py
@@ -9,6 +9,7 @@
 from bramleyfork.core import messages
 from bramleyfork.core import platform_calls
 from bramleyfork.core import sections
+from bramleyfork.transports import checker
 
 FLEET = b"""
 [deployment]
@@ -52,6 +53,9 @@
         self.results = grant("platform_results", "platform_transport")
         self.control = grant("peer_control", "peer_transport")
         self.members = grant("members", "membership")
+        self.orders = self.board.find_log("checks").open_cursor()
+        self.checked = grant("check_results", "checker")
+        self.checks_at_once = True
         ip = f"127.0.1.{name[1:]}"
         self.controller = configuration.ConfigurationController(
             board=self.board,
@@ -70,7 +74,16 @@
         self.table = self.board.find_table("declaration")
 
     def step(self, now):
-        return self.controller.step(now)
+        due = self.controller.step(now)
+        return (self.check(now) if self.checks_at_once else None) or due
+
+    def check(self, now):
+        """Does the check that was ordered, if any; returns the next time."""
+        due = None
+        for order in self.orders.take():
+            self.checked.append(checker.run_check(order, "test"))
+            due = self.controller.step(now)
+        return due
 
     def answer(self, read, now, *, status=200, body=b"", error=""):
         etag = hashlib.sha256(body).hexdigest() if body else ""
--- a/tests/controllers/test_controllers_configuration.py
+++ b/tests/controllers/test_controllers_configuration.py
@@ -257,3 +257,24 @@
     node.answer(read, 1.4, body=new["fleet"])
     node.step(1.5)
     assert node.read_version() == configuration_rig.find_version(new)
+
+
+def test_a_check_under_way_holds_up_neither_the_step_nor_a_newer_revision():
+    # Guards against heartbeats that wait for a check, a loop that spins while
+    # one runs, and checks that start anew with each revision and never end.
+    first, second, third = (
+        configuration_rig.create_bodies(revision=n, note=b"%d" % n)
+        for n in (1, 2, 3)
+    )
+    node = configuration_rig.start_node(first)
+    node.checks_at_once = False
+    for bodies, now in ((second, 1.0), (third, 2.0)):
+        node.serve(bodies, now)
+        for _ in range(3):
+            due = node.serve(bodies, now)
+    assert due > 2.0
+    assert node.read_version() == configuration_rig.find_version(first)
+    node.check(2.1)
+    assert node.read_version() == configuration_rig.find_version(second)
+    node.check(2.2)
+    assert node.read_version() == configuration_rig.find_version(third)
--- /dev/null
+++ b/tests/transports/test_checker.py
@@ -0,0 +1,64 @@
+import threading
+
+import pytest
+from tests import boards
+
+from bramleyfork.configuration import declaration
+from bramleyfork.core import checks
+from bramleyfork.core import clocks
+from bramleyfork.transports import checker
+
+
+@pytest.fixture
+def fed():
+    fed = boards.Board()
+    transport = checker.Checker(
+        board=fed.board,
+        settings=boards.create_settings(),
+        clock=clocks.SystemClock(),
+    )
+    transport.start()
+    yield fed
+    transport.stop()
+
+
+def order_check(fed):
+    results = fed.board.find_log("check_results").open_cursor()
+    fed.append("checks", checks.CheckOrder(digest="d", bodies={}))
+    return results.wait_for_one(5.0)
+
+
+def test_refuses_with_every_problem(fed):
+    result = order_check(fed)
+    assert result.declaration is None
+    assert result.digest == "d"
+    assert "a manifest" in declaration.describe_problems(result.problems)
+
+
+def test_a_fault_of_the_check_is_a_refusal(fed, monkeypatch):
+    # Guards against a controller that waits for ever for a result.
+    def fail(bodies, deployment):
+        raise KeyError("row")
+
+    monkeypatch.setattr(declaration, "check_for_deployment", fail)
+    result = order_check(fed)
+    assert "KeyError: 'row'" in declaration.describe_problems(result.problems)
+
+
+def test_other_threads_go_on_while_a_check_runs(fed, monkeypatch):
+    # Guards against a check on the thread that answers heartbeats.
+    began, proceed = threading.Event(), threading.Event()
+
+    def wait(bodies, deployment):
+        began.set()
+        proceed.wait(5.0)
+        return checked
+
+    checked = declaration.check_declaration({})
+    monkeypatch.setattr(declaration, "check_for_deployment", wait)
+    results = fed.board.find_log("check_results").open_cursor()
+    fed.append("checks", checks.CheckOrder(digest="d", bodies={}))
+    assert began.wait(5.0)
+    assert results.take() == []
+    proceed.set()
+    assert results.wait_for_one(5.0).digest == "d"
