--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,6 +18,7 @@
 
 from absl import app
 from absl import flags
+import urllib3
 
 from bench import fits
 from bench import fleet as fleet_module
@@ -218,8 +219,13 @@
             time_losses,
         ):
             row.update(measure(fleet))
-    except fleet_module.FleetError as error:
-        row["error"] = str(error)[:2000]
+    except (
+        fleet_module.FleetError,
+        urllib3.exceptions.HTTPError,
+        OSError,
+    ) as error:
+        # What was measured before is still reported.
+        row["error"] = f"{type(error).__name__}: {str(error)[:2000]}"
     finally:
         fleet.stop()
     return row
