Let the watchers of a data centre tell each other

Cause: the second root of the tree had no way but heartbeats to pass on a revision that only it had, for instance after the platform had been reset; the property test of the configuration controller, which has no heartbeats, found hosts that never agreed (tests/controllers/ test_controllers_configuration_network.py, some seeds). Change: roots count as children of each other. Before: the test failed on some runs. After: it passes.

--- a/src/bramleyfork/decisions/relays.py
+++ b/src/bramleyfork/decisions/relays.py
@@ -1,7 +1,8 @@
 """The tree along which news travels among the hosts of a data centre.
 
 The hosts of a data centre that are not gone stand in rendezvous order. The
-first ones hold the watch on the platform and are the roots; each host has up
+first ones hold the watch on the platform and are the roots, which also tell
+each other, as one may have news that the platform has lost. Each host has up
 to FANOUT children. A host so sends the same few messages whatever the size of
 the fleet. Hosts whose views of the members differ may send twice or not at
 all; the versions on heartbeats repair that.
@@ -52,8 +53,12 @@
     present = [name for name in ranked if name not in gone or name == host]
     if host not in present:
         return ()
-    begin = _ROOTS + FANOUT * present.index(host)
-    return tuple(present[begin : begin + FANOUT])
+    place = present.index(host)
+    begin = _ROOTS + FANOUT * place
+    children = present[begin : begin + FANOUT]
+    if place < _ROOTS:
+        children.extend(root for root in present[:_ROOTS] if root != host)
+    return tuple(children)
 
 
 def find_parent(
