Share the tables that a revision leaves as they are

Cause: after a change of one small part the check built and compared all hosts, services and targets again, and every controller looked at them all. Change: the check keeps the tables of hosts, services and targets while none of their parts changes, records of unchanged parts are built once, digests of unchanged bodies are kept, and users compare tables by identity first. The problems of lookups are reported after those of the other tables.

--- a/src/bramleyfork/configuration/declaration.py
+++ b/src/bramleyfork/configuration/declaration.py
@@ -47,7 +47,7 @@
     if problems:
         return expression.Error(problems)
     return _read_tables(manifest, parts).bind(
-        lambda rows: _build_declaration(manifest, rows)
+        lambda found: _build_declaration(manifest, found)
     )
 
 
@@ -74,23 +74,38 @@
     return "\n".join(problem.describe() for problem in problems)
 
 
+class PartRows:
+    """The checked rows of one part; each reading of it is another object.
+
+    Attributes:
+      rows: Rows by table.
+      problems: What the check of the part found.
+    """
+
+    __slots__ = ("rows", "problems")
+
+    def __init__(
+        self,
+        *,
+        rows: dict[str, list[templates.Row]],
+        problems: tuple[tables.Problem, ...],
+    ):
+        self.rows = rows
+        self.problems = problems
+
+
 def _read_tables(
     manifest: manifests.Manifest,
     parts: collections.abc.Mapping[str, bytes],
-) -> expression.Result[
-    dict[str, list[templates.Row]], tuple[tables.Problem, ...]
-]:
-    """Returns the checked rows of all parts by table."""
-    rows: dict[str, list[templates.Row]] = {_DEPLOYMENT: []}
-    rows.update({name: [] for name in declared_options.REPEATED})
-    problems: list[tables.Problem] = []
-    for key in manifest.parts:
-        found, faults = _read_part(f"{key}.toml", parts[key])
-        problems.extend(faults)
-        for table, row in found:
-            rows[table].append(row)
-    if len(rows[_DEPLOYMENT]) != 1 and not problems:
-        files = [row.file for row in rows[_DEPLOYMENT]]
+) -> expression.Result[tuple[PartRows, ...], tuple[tables.Problem, ...]]:
+    """Returns the checked rows of all parts."""
+    found = tuple(
+        _read_part(f"{key}.toml", parts[key]) for key in manifest.parts
+    )
+    problems = [problem for part in found for problem in part.problems]
+    deployments = _collect_rows(found, (_DEPLOYMENT,))[_DEPLOYMENT]
+    if len(deployments) != 1 and not problems:
+        files = [row.file for row in deployments]
         problems.append(
             tables.Problem(
                 file=files[-1] if files else manifests.MANIFEST_FILE,
@@ -101,25 +116,32 @@
         )
     if problems:
         return expression.Error(tuple(problems))
-    return expression.Ok(rows)
+    return expression.Ok(found)
+
+
+def _collect_rows(
+    parts: collections.abc.Iterable[PartRows],
+    names: collections.abc.Iterable[str],
+) -> dict[str, list[templates.Row]]:
+    return {
+        name: [row for part in parts for row in part.rows.get(name, ())]
+        for name in names
+    }
 
 
 # Most changes touch one part, so the rows of the others are kept.
 @functools.lru_cache(maxsize=_PARTS_KEPT)
-def _read_part(
-    file: str, body: bytes
-) -> tuple[tuple[tuple[str, templates.Row], ...], tuple[tables.Problem, ...]]:
-    """Returns the checked rows of a part with their tables, and problems."""
+def _read_part(file: str, body: bytes) -> PartRows:
+    """Returns the checked rows of a part, and problems."""
     parsed = manifests.parse_toml(body, file)
     if parsed.is_error():
-        return (), parsed.error
-    rows: list[tuple[str, templates.Row]] = []
+        return PartRows(rows={}, problems=tuple(parsed.error))
+    rows: dict[str, list[templates.Row]] = {}
     problems: list[tables.Problem] = []
     for table, content in parsed.ok.items():
-        found, faults = _read_table(file, table, content)
-        rows.extend((table, row) for row in found)
+        rows[table], faults = _read_table(file, table, content)
         problems.extend(faults)
-    return tuple(rows), tuple(problems)
+    return PartRows(rows=rows, problems=tuple(problems))
 
 
 def _read_table(
@@ -174,31 +196,83 @@
         options, values, file=file, prefix=f"{place}."
     )
     return checked.map(
-        lambda good: templates.Row(
-            file=file, place=place, index=index, values=good
+        lambda good: templates.build_row(
+            table, good, file=file, place=place, index=index
         )
     )
 
 
+class Fleet:
+    """Hosts, services and targets of a declaration, and their problems.
+
+    Attributes:
+      expanded: Entries by table.
+      faults: Problems of the expansion.
+      problems: Problems of the references, which need the expansion.
+      by_name: Records by table and name.
+    """
+
+    __slots__ = ("expanded", "faults", "problems", "by_name")
+
+    def __init__(self, *, parts: tuple[PartRows, ...]):
+        names = templates.FLEET_TABLES
+        rows = _collect_rows(parts, names)
+        self.expanded, self.faults = templates.expand_rows(rows, names, {})
+        self.problems: list[tables.Problem] = []
+        if not self.faults:
+            self.problems = references.check_references(
+                self.expanded, references.FLEET_CHECKS
+            )
+        self.by_name = _name_records(self.expanded, names)
+
+
+# The one in force and a new one; a change of another part takes over the
+# whole tables, so that users see at once that they are the same.
+@functools.lru_cache(maxsize=2)
+def _build_fleet(parts: tuple[PartRows, ...]) -> Fleet:
+    return Fleet(parts=parts)
+
+
+def _name_records(
+    expanded: templates.Expanded, names: collections.abc.Iterable[str]
+) -> dict[str, dict[str, typing.Any]]:
+    return {
+        table: {entry.record.name: entry.record for entry in expanded[table]}
+        for table in names
+    }
+
+
 def _build_declaration(
-    manifest: manifests.Manifest, rows: dict[str, list[templates.Row]]
+    manifest: manifests.Manifest, parts: tuple[PartRows, ...]
 ) -> expression.Result[declarations.Declaration, tuple[tables.Problem, ...]]:
-    expanded, problems = templates.expand_rows(rows)
+    fleet = _build_fleet(
+        tuple(
+            part
+            for part in parts
+            if not part.rows.keys().isdisjoint(templates.FLEET_TABLES)
+        )
+    )
+    names = templates.LOOKUP_TABLES
+    expanded, faults = templates.expand_rows(
+        _collect_rows(parts, names), names, fleet.expanded
+    )
+    problems = fleet.faults + faults
     if not problems:
-        problems = references.check_references(expanded)
+        problems = fleet.problems + references.check_references(
+            expanded, references.LOOKUP_CHECKS
+        )
     if problems:
         return expression.Error(tuple(problems))
-    deployment = dict(rows[_DEPLOYMENT][0].values)
-    by_name = {
-        table: {entry.record.name: entry.record for entry in entries}
-        for table, entries in expanded.items()
-    }
+    deployment = dict(
+        _collect_rows(parts, (_DEPLOYMENT,))[_DEPLOYMENT][0].values
+    )
     return expression.Ok(
         declarations.Declaration(
             deployment=deployment.pop("name"),
             revision=manifest.revision,
             digest=manifest.digest,
             **deployment,
-            **by_name,
+            **fleet.by_name,
+            **_name_records(expanded, names),
         )
     )
--- a/src/bramleyfork/configuration/manifests.py
+++ b/src/bramleyfork/configuration/manifests.py
@@ -1,6 +1,7 @@
 """The manifest: which parts make up a configuration, and at which revision."""
 
 import collections.abc
+import functools
 import hashlib
 import pathlib
 import re
@@ -129,6 +130,9 @@
         self.parts = parts
 
 
+# The parts that a revision leaves as they are keep their bytes object, so that
+# their digests, of up to 16 MB, are computed once.
+@functools.lru_cache(maxsize=64)
 def compute_digest(body: bytes) -> str:
     """Returns the SHA-256 of ``body`` in hexadecimal."""
     return hashlib.sha256(body).hexdigest()
--- a/src/bramleyfork/configuration/references.py
+++ b/src/bramleyfork/configuration/references.py
@@ -9,26 +9,50 @@
 Check = collections.abc.Callable[
     [templates.Expanded], collections.abc.Iterable[tables.Problem]
 ]
-CHECKS: registries.Registry[Check] = registries.Registry(kind="check")
+# Checks of hosts, services and targets, and those of lookups. They are apart
+# because most changes leave the first, which take long, as they are.
+FLEET_CHECKS: registries.Registry[Check] = registries.Registry(
+    kind="fleet check"
+)
+LOOKUP_CHECKS: registries.Registry[Check] = registries.Registry(
+    kind="lookup check"
+)
 
 _TABLES_WITH_DATA_CENTRES = ("hosts", "targets")
 
 
-def check_references(expanded: templates.Expanded) -> list[tables.Problem]:
-    """Returns what all registered checks find."""
+def check_references(
+    expanded: templates.Expanded, checks: registries.Registry[Check]
+) -> list[tables.Problem]:
+    """Returns what the registered checks find."""
     return [
         problem
-        for _, check in CHECKS.list_items()
+        for _, check in checks.list_items()
         for problem in check(expanded)
     ]
 
 
-@CHECKS.register("names")
-def check_names(
+@FLEET_CHECKS.register("names")
+def check_fleet_names(
     expanded: templates.Expanded,
 ) -> collections.abc.Iterable[tables.Problem]:
-    """Reports names that occur twice in a table."""
-    for table, entries in expanded.items():
+    """Reports hosts, services and others that have one name."""
+    return _check_names(expanded, templates.FLEET_TABLES)
+
+
+@LOOKUP_CHECKS.register("names")
+def check_lookup_names(
+    expanded: templates.Expanded,
+) -> collections.abc.Iterable[tables.Problem]:
+    """Reports lookups that have one name."""
+    return _check_names(expanded, templates.LOOKUP_TABLES)
+
+
+def _check_names(
+    expanded: templates.Expanded, names: tuple[str, ...]
+) -> collections.abc.Iterable[tables.Problem]:
+    for table in names:
+        entries = expanded[table]
         seen: dict[str, templates.Row] = {}
         for entry in entries:
             name = entry.record.name
@@ -42,7 +66,7 @@
             seen.setdefault(name, entry.row)
 
 
-@CHECKS.register("addresses")
+@FLEET_CHECKS.register("addresses")
 def check_addresses(
     expanded: templates.Expanded,
 ) -> collections.abc.Iterable[tables.Problem]:
@@ -64,7 +88,7 @@
             seen.setdefault(address, entry)
 
 
-@CHECKS.register("data_centres")
+@FLEET_CHECKS.register("data_centres")
 def check_data_centres(
     expanded: templates.Expanded,
 ) -> collections.abc.Iterable[tables.Problem]:
@@ -78,7 +102,7 @@
                 yield entry.row.report("data_centre", name, allowed, advice)
 
 
-@CHECKS.register("services")
+@FLEET_CHECKS.register("services")
 def check_services(
     expanded: templates.Expanded,
 ) -> collections.abc.Iterable[tables.Problem]:
@@ -101,7 +125,7 @@
             )
 
 
-@CHECKS.register("lookups")
+@LOOKUP_CHECKS.register("lookups")
 def check_lookups(
     expanded: templates.Expanded,
 ) -> collections.abc.Iterable[tables.Problem]:
@@ -126,7 +150,7 @@
             )
 
 
-@CHECKS.register("hosts")
+@FLEET_CHECKS.register("hosts")
 def check_hosts(
     expanded: templates.Expanded,
 ) -> collections.abc.Iterable[tables.Problem]:
--- a/src/bramleyfork/configuration/templates.py
+++ b/src/bramleyfork/configuration/templates.py
@@ -23,10 +23,12 @@
       file: File of the part.
       place: Table and name, as problems show it.
       index: Position among the tables of its kind in the file, from 1.
-      values: A value for each option.
+      values: A value for each option; empty when ``record`` has them.
+      record: What the row declares if no other row has a part in it. It is
+        built once, so that revisions share the records of unchanged parts.
     """
 
-    __slots__ = ("file", "place", "index", "values")
+    __slots__ = ("file", "place", "index", "values", "record")
 
     def __init__(
         self,
@@ -35,11 +37,13 @@
         place: str,
         index: int,
         values: dict[str, typing.Any],
+        record: typing.Any = None,
     ):
         self.file = file
         self.place = place
         self.index = index
         self.values = values
+        self.record = record
 
     def report(
         self, key: str, value: typing.Any, allowed: str, advice: str = ""
@@ -78,20 +82,52 @@
 EXPANDERS: registries.Registry[Expander] = registries.Registry(kind="table")
 
 # Targets and lookups refer to services by pattern.
-_ORDER = ("data_centres", "hosts", "services", "targets", "lookups")
+FLEET_TABLES = ("data_centres", "hosts", "services", "targets")
+LOOKUP_TABLES = ("lookups",)
+
+_RECORDS = {
+    "data_centres": declarations.DataCentre,
+    "hosts": declarations.Host,
+    "targets": declarations.Target,
+}
+
+
+def build_row(table: str, values: dict[str, typing.Any], **place: typing.Any):
+    """Returns the row of a table with its record, if it can have one.
+
+    Args:
+      table: Name of the table.
+      values: A value for each option.
+      **place: The other fields of ``Row``.
+    """
+    record_class = _RECORDS.get(table)
+    if record_class is None or "replicas" in values:
+        return Row(values=values, **place)
+    return Row(values={}, record=record_class(**values), **place)
 
 
 def expand_rows(
-    rows: dict[str, list[Row]],
+    rows: collections.abc.Mapping[str, collections.abc.Iterable[Row]],
+    names: collections.abc.Iterable[str],
+    expanded: Expanded,
 ) -> tuple[Expanded, list[tables.Problem]]:
-    """Returns the records that the rows declare, by table, and problems."""
-    expanded: Expanded = {table: [] for table in _ORDER}
+    """Returns the records that the rows declare, by table, and problems.
+
+    Args:
+      rows: Rows by table.
+      names: The tables to expand, in this order.
+      expanded: Tables expanded before, which these refer to.
+    """
+    expanded = dict(expanded)
     problems: list[tables.Problem] = []
-    for table in _ORDER:
-        expand = EXPANDERS.find(table)
+    for table in names:
+        entries = expanded[table] = []
         for row in rows[table]:
-            entries, faults = expand(row, expanded)
-            expanded[table].extend(entries)
+            if row.record is not None:
+                entries.append(Entry(record=row.record, row=row))
+                continue
+            found, faults = EXPANDERS.find(table)(row, expanded)
+            entries.extend(found)
             problems.extend(faults)
     return expanded, problems
 
@@ -125,23 +161,6 @@
     )
 
 
-@EXPANDERS.register("data_centres")
-def expand_data_centre(
-    row: Row, expanded: Expanded
-) -> tuple[list[Entry], list[tables.Problem]]:
-    """Returns one data centre."""
-    record = declarations.DataCentre(**row.values)
-    return [Entry(record=record, row=row)], []
-
-
-@EXPANDERS.register("hosts")
-def expand_host(
-    row: Row, expanded: Expanded
-) -> tuple[list[Entry], list[tables.Problem]]:
-    """Returns one host."""
-    return [Entry(record=declarations.Host(**row.values), row=row)], []
-
-
 @EXPANDERS.register("services")
 def expand_service(
     row: Row, expanded: Expanded
@@ -162,18 +181,10 @@
 
 
 @EXPANDERS.register("targets")
-def expand_target(
-    row: Row, expanded: Expanded
-) -> tuple[list[Entry], list[tables.Problem]]:
-    """Returns one target, or those of a template."""
-    if "replicas" in row.values:
-        return _expand_target_template(row, expanded)
-    return [Entry(record=declarations.Target(**row.values), row=row)], []
-
-
-def _expand_target_template(
+def expand_target_template(
     row: Row, expanded: Expanded
 ) -> tuple[list[Entry], list[tables.Problem]]:
+    """Returns the targets of a template."""
     values = row.values
     services = match_services(values["service"], expanded)
     problems = _check_target_template(row, services, expanded)
--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -79,12 +79,14 @@
         Owners are found when a target is first chosen, as a declaration may
         have many more targets than this host sends to.
         """
-        self.declaration = declaration
+        before, self.declaration = self.declaration, declaration
         self._plans.clear()
         self._ranking.use_declaration(declaration)
-        for name in self._stats.keys() - declaration.targets.keys():
-            del self._stats[name]
-            self._fresh.pop(name, None)
+        # Revisions share the tables that they leave as they are.
+        if before is None or before.targets is not declaration.targets:
+            for name in self._stats.keys() - declaration.targets.keys():
+                del self._stats[name]
+                self._fresh.pop(name, None)
         own = declaration.hosts.get(self.host)
         self._distances = {
             centre: _measure_distance(own, centre, declaration)
--- a/src/bramleyfork/controllers/_tree.py
+++ b/src/bramleyfork/controllers/_tree.py
@@ -20,7 +20,7 @@
       ranked: Hosts by data centre, in rendezvous order.
     """
 
-    __slots__ = ("ranked", "_host", "_data_centre", "_gone")
+    __slots__ = ("ranked", "_host", "_data_centre", "_gone", "_hosts")
 
     def __init__(
         self,
@@ -30,15 +30,19 @@
         find_member: collections.abc.Callable[[str], fleet.Member | None],
     ):
         self.ranked: dict[str, tuple[str, ...]] = {}
+        self._hosts: collections.abc.Mapping[str, declarations.Host] = {}
         self._host = host
         self._data_centre = data_centre
         self._gone = relays.Gone(find_member=find_member)
 
     def use_hosts(
-        self, hosts: collections.abc.Iterable[declarations.Host]
+        self, hosts: collections.abc.Mapping[str, declarations.Host]
     ) -> None:
         """Takes over the declared hosts."""
-        self.ranked = revisions.rank_watchers(hosts)
+        # Revisions share the tables that they leave as they are.
+        if hosts is not self._hosts:
+            self._hosts = hosts
+            self.ranked = revisions.rank_watchers(hosts.values())
 
     def choose_watchers(self) -> frozenset[str]:
         """Returns the hosts that hold the watch on the platform now."""
--- a/src/bramleyfork/controllers/configuration.py
+++ b/src/bramleyfork/controllers/configuration.py
@@ -378,7 +378,7 @@
             )
         )
         self._plan = pacing.note_in_force(self._plan)
-        self._tree.use_hosts(accepted.hosts.values())
+        self._tree.use_hosts(accepted.hosts)
         self._watchers = self._tree.choose_watchers()
         self._last_word = now
         self._announcer.relay(self._table.version, now)
--- a/src/bramleyfork/controllers/listing.py
+++ b/src/bramleyfork/controllers/listing.py
@@ -62,7 +62,7 @@
         version = revisions.read_version(entry.declaration)
         if version != self._version:
             self._version = version
-            self._tree.use_hosts(entry.declaration.hosts.values())
+            self._tree.use_hosts(entry.declaration.hosts)
         self._note_watchers(now)
         for result in self.take("platform_results"):
             if result.purpose == "listing":
--- a/src/bramleyfork/controllers/targets.py
+++ b/src/bramleyfork/controllers/targets.py
@@ -69,7 +69,11 @@
         """Returns new targets and those that go out or come back."""
         if entry is self._entry:
             return set()
-        self._entry = entry
+        before, self._entry = self._entry, entry
+        if before is not None and _is_same_fleet(
+            before.declaration, entry.declaration
+        ):
+            return set()
         declared = entry.declaration.targets
         removed = self._evidence.keys() - declared.keys()
         for name in removed:
@@ -169,6 +173,16 @@
             )
 
 
+def _is_same_fleet(
+    before: declarations.Declaration, after: declarations.Declaration
+) -> bool:
+    # Revisions share the tables that they leave as they are.
+    return (
+        before.targets is after.targets
+        and before.data_centres is after.data_centres
+    )
+
+
 def find_out(declaration: declarations.Declaration) -> dict[str, str]:
     """Returns why targets are out, by name of the targets that are."""
     centres = {c.name for c in declaration.data_centres.values() if c.out}
--- a/src/bramleyfork/decisions/ranking.py
+++ b/src/bramleyfork/decisions/ranking.py
@@ -44,13 +44,13 @@
 class Ranking:
     """Finds the owners of targets, each at most once per change of hosts."""
 
-    __slots__ = ("_by_centre", "_by_region", "_centres", "_claims")
+    __slots__ = ("_by_centre", "_centres", "_claims", "_declaration")
 
     def __init__(self):
         self._by_centre: dict[str, dict[str, None]] = {}
-        self._by_region: dict[str, tuple[str, ...]] = {}
         self._centres: dict[str, str] = {}  # Regions by data centre.
         self._claims: dict[str, Claims] = {}
+        self._declaration: declarations.Declaration | None = None
 
     def use_declaration(
         self, declaration: declarations.Declaration
@@ -60,6 +60,9 @@
         Returns:
           The data centres whose targets may have other owners than before.
         """
+        known, self._declaration = self._declaration, declaration
+        if known is not None and _is_same_fleet(known, declaration):
+            return frozenset()
         by_centre: dict[str, dict[str, None]] = {}
         for host in declaration.hosts.values():
             by_centre.setdefault(host.data_centre, {})[host.name] = None
@@ -143,6 +146,17 @@
         )
 
 
+def _is_same_fleet(
+    before: declarations.Declaration, after: declarations.Declaration
+) -> bool:
+    # Revisions share the tables that they leave as they are.
+    return (
+        before.hosts is after.hosts
+        and before.targets is after.targets
+        and before.data_centres is after.data_centres
+    )
+
+
 def _choose_first(
     hosts: collections.abc.Iterable[str], target: str, count: int
 ) -> tuple[Claim, ...]:
@@ -153,7 +167,7 @@
 def list_touched(
     before: declarations.Declaration | None,
     after: declarations.Declaration,
-    data_centres: collections.abc.Container[str],
+    data_centres: collections.abc.Collection[str],
 ) -> list[declarations.Target]:
     """Returns the targets of ``after`` whose shares may differ from before.
 
@@ -170,9 +184,13 @@
     services = {
         name
         for name, service in after.services.items()
-        if before.services.get(name) != service
+        if before.services.get(name) is not service
+        and before.services.get(name) != service
     }
     present = before.targets
+    # Revisions share the tables that they leave as they are.
+    if present is after.targets and not services and not data_centres:
+        return []
     return [
         target
         for name, target in after.targets.items()
--- a/tests/configuration/test_configuration_declaration.py
+++ b/tests/configuration/test_configuration_declaration.py
@@ -199,3 +199,23 @@
         assert loaded.data_centre == host.data_centre
         assert loaded.peer_address == host.peer_address
         assert loaded.caller_address == host.caller_address
+
+
+def test_revisions_share_the_tables_that_they_leave_as_they_are():
+    # Guards against work in proportion to all targets after each change, and
+    # against tables that are kept although they have changed.
+    head, _, lookups = GOOD.partition("[[lookups]]")
+    lookups = "[[lookups]]" + lookups
+
+    def check(head, lookups):
+        return declaration.check_declaration(create_parts(head, lookups)).ok
+
+    first = check(head, lookups)
+    second = check(head, lookups.replace("urgent = true", "urgent = false"))
+    third = check(head.replace("slots = 3", "slots = 4"), lookups)
+    assert first.lookups["all"].urgent
+    assert not second.lookups["all"].urgent
+    for table in ("data_centres", "hosts", "services", "targets"):
+        assert getattr(first, table) is getattr(second, table)
+    assert third.services["kiln"].slots == 4
+    assert first.services["kiln"].slots == 3
