--- a/src/bramleyfork/controllers/configuration.py
+++ b/src/bramleyfork/controllers/configuration.py
@@ -3,9 +3,11 @@
 import logging
 import typing
 
-from bramleyfork.configuration import declaration
 from bramleyfork.configuration import manifests
+from bramleyfork.controllers import _announcer
+from bramleyfork.controllers import _tree
 from bramleyfork.controllers import declaration_table
+from bramleyfork.core import checks
 from bramleyfork.core import controllers
 from bramleyfork.core import declarations
 from bramleyfork.core import messages
@@ -21,8 +23,6 @@
 # How long a starting host waits for a second opinion before it puts the
 # highest configuration it knows in force.
 _START_WAIT_S = 2.0
-_ASK_INTERVAL_S = 0.5  # Between questions to peers at start.
-_OFFER_INTERVAL_S = 10.0  # Of watchers, so that others need not fall back.
 _PEERS = "peers"  # Any peer, among those a starting host has heard.
 
 # What to do with each kind of control message, by class name.
@@ -33,8 +33,8 @@
 
 @controllers.register(
     "configuration",
-    reads=("platform_results", "peer_control", "members"),
-    writes=("platform_reads", "declaration", "configuration_out"),
+    reads=("platform_results", "peer_control", "members", "check_results"),
+    writes=("platform_reads", "declaration", "configuration_out", "checks"),
 )
 class ConfigurationController(controllers.Controller):
     """Moves this host upward in the order of configurations.
@@ -45,29 +45,38 @@
     """
 
     __slots__ = (
+        "_announcer",
         "_candidate",
+        "_checking",
         "_heard",
         "_last_word",
-        "_offer_at",
         "_plan",
-        "_ranked",
         "_started_at",
         "_table",
+        "_tree",
         "_watchers",
     )
 
     def start(self) -> None:
         """Sets up state before the first step."""
         self._candidate: candidates.Candidate | None = None
+        # The candidate that is being checked, in another thread.
+        self._checking: candidates.Candidate | None = None
         self._heard: set[str] = set()
         own = self.settings.peer_address
         if all(seed == own for seed in self.settings.seeds):
             self._heard.add(_PEERS)
         self._last_word = 0.0
-        self._offer_at = 0.0
         self._plan = pacing.ReadPlan(watch=pacing.Pace(), poll=pacing.Pace())
-        self._ranked: dict[str, tuple[str, ...]] = {}
         self._started_at: float | None = None
+        self._tree = _tree.Tree(
+            host=self.settings.host,
+            data_centre=self.settings.data_centre,
+            find_member=self.table("members").get,
+        )
+        self._announcer = _announcer.Announcer(
+            tree=self._tree, writer=self.writer("configuration_out")
+        )
         self._table = declaration_table.DeclarationTable(
             table=self.table("declaration"),
             writer=self.writer("declaration"),
@@ -78,25 +87,27 @@
         """Handles answers and messages, then asks for what is missing."""
         if self._started_at is None:
             self._started_at = now
-        self._choose_watchers()
+        self._watchers = self._tree.choose_watchers()
         for result in self.take("platform_results"):
             if result.purpose == "configuration":
                 self._take_result(result, now)
         for received in self.take("peer_control"):
             self._take_message(received, now)
+        for result in self.take("check_results"):
+            self._take_check(result, now)
         self._advance(now)
         self._look_again(now)
         self._plan, reads = pacing.plan_reads(
             self._plan, now, self.settings.host, self._find_quiet_since()
         )
         self.writer("platform_reads").extend(reads)
-        self._tell_peers(now)
+        self._announcer.tell(
+            self._table.version,
+            now,
+            watching=self.settings.host in self._watchers,
+        )
         return self._find_wake_time()
 
-    def _choose_watchers(self) -> None:
-        gone = revisions.list_gone(self.table("members").list_records())
-        self._watchers = revisions.choose_watchers(self._ranked, gone)
-
     def _find_quiet_since(self) -> float | None:
         # Without a declaration the watchers are not known, so each host holds
         # the watch.
@@ -175,7 +186,13 @@
         version = revisions.read_version(message)
         self._note_version(version, sender, now)
         if revisions.is_newer(self._table.version, version):
-            self._offer(sender)
+            self._announcer.offer(sender, self._table.version)
+        if sender != self._tree.find_parent():
+            return
+        self._last_word = now
+        # A newer version is passed on once it is in force.
+        if version == self._table.version:
+            self._announcer.repeat(version, now)
 
     @HANDLERS.register("ConfigurationFetch")
     def _answer_fetch(
@@ -184,7 +201,7 @@
         if self._table.entry is None:
             return
         if message.digest != self._table.version.digest:
-            self._offer(sender)
+            self._announcer.offer(sender, self._table.version)
             return
         self.writer("configuration_out").extend(
             candidates.build_parts(self._table.entry, sender, message.keys)
@@ -287,8 +304,10 @@
             return
         missing = candidates.list_missing(candidate)
         if not missing:
-            if self._may_start(now):
-                self._finish_candidate(candidate, now)
+            # One check at a time: with revisions faster than checks, each
+            # check begun still ends with a revision in force.
+            if self._checking is None and self._may_start(now):
+                self._order_check(candidate)
             return
         if candidates.is_waiting(candidate, now):
             return
@@ -327,17 +346,22 @@
             source=source, asked_at=now, answer_by=now + patience_s
         )
 
-    def _finish_candidate(
-        self, candidate: candidates.Candidate, now: float
-    ) -> None:
-        self._candidate = None
-        checked = declaration.check_for_deployment(
-            candidate.bodies, self.settings.deployment
+    def _order_check(self, candidate: candidates.Candidate) -> None:
+        self._checking = candidate
+        self.writer("checks").append(
+            checks.CheckOrder(
+                digest=candidate.version.digest, bodies=candidate.bodies
+            )
         )
-        if checked.is_ok():
-            self._put_in_force(checked.ok, candidate, now)
-            return
-        self._table.refuse(candidate.version, checked.error, now)
+
+    def _take_check(self, result: checks.CheckResult, now: float) -> None:
+        checked, self._checking = self._checking, None
+        if self._candidate and self._candidate.version == checked.version:
+            self._candidate = None
+        if result.declaration is None:
+            self._table.refuse(checked.version, result.problems, now)
+        elif revisions.is_newer(checked.version, self._table.version):
+            self._put_in_force(result.declaration, checked, now)
 
     def _put_in_force(
         self,
@@ -354,40 +378,19 @@
             )
         )
         self._plan = pacing.note_in_force(self._plan)
-        self._ranked = revisions.rank_watchers(accepted.hosts.values())
-        self._choose_watchers()
+        self._tree.use_hosts(accepted.hosts)
+        self._watchers = self._tree.choose_watchers()
         self._last_word = now
-        self._offer_at = now  # Watchers tell their peers at once.
-
-    # Questions and news to peers.
-
-    def _tell_peers(self, now: float) -> None:
-        if now < self._offer_at:
-            return
-        starting = self._table.entry is None
-        self._offer_at = now + (
-            _ASK_INTERVAL_S if starting else _OFFER_INTERVAL_S
-        )
-        if self._find_quiet_since() is None:
-            # Revision 0, of a starting host, asks peers to tell theirs.
-            self._offer(messages.EVERY_PEER)
-
-    def _offer(self, receiver: str) -> None:
-        version = self._table.version
-        self.writer("configuration_out").append(
-            messages.ConfigurationOffer(
-                to=receiver, revision=version.revision, digest=version.digest
-            )
-        )
+        self._announcer.relay(self._table.version, now)
 
     def _find_wake_time(self) -> float:
         plan_at = pacing.find_plan_time(
             self._plan, self.settings.host, self._find_quiet_since()
         )
-        times = [self._offer_at, plan_at]
+        times = [self._announcer.next_at, plan_at]
         if self._candidate is not None:
             if candidates.list_missing(self._candidate):
                 times.append(self._candidate.answer_by)
-            else:
+            elif self._checking is None:
                 times.append(self._started_at + _START_WAIT_S)
         return min(times)
