--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -106,16 +106,27 @@
       name: Name of the host.
       settings: Text of its settings file.
       folder: Where its settings and log are written.
+      python_path: PYTHONPATH of the process; None keeps the caller's.
     """
 
     __slots__ = ("name", "settings_path", "log_path", "process", "log")
 
-    def __init__(self, *, name: str, settings: str, folder: pathlib.Path):
+    def __init__(
+        self,
+        *,
+        name: str,
+        settings: str,
+        folder: pathlib.Path,
+        python_path: str | None = None,
+    ):
         self.name = name
         self.settings_path = folder / f"{name}.toml"
         self.settings_path.write_text(settings)
         self.log_path = folder / f"{name}.log"
         self.log = self.log_path.open("ab")
+        environment = dict(os.environ)
+        if python_path is not None:
+            environment["PYTHONPATH"] = python_path
         self.process = subprocess.Popen(
             [
                 sys.executable,
@@ -127,6 +138,7 @@
             stdin=subprocess.DEVNULL,
             stdout=self.log,
             stderr=self.log,
+            env=environment,
         )
 
     def send_signal(self, number: int) -> None:
@@ -158,11 +170,19 @@
 
     Args:
       deployment: What to run.
+      python_path: PYTHONPATH of the daemons; None keeps the caller's.
       target_fields: Fields of the target stand-in's settings for all targets.
     """
 
-    def __init__(self, *, deployment: Deployment, **target_fields: typing.Any):
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        python_path: str | None = None,
+        **target_fields: typing.Any,
+    ):
         self.deployment = deployment
+        self.python_path = python_path
         self.declaration = deployment.read_declaration()
         self.target_fields = target_fields
         self.daemons: dict[str, Daemon] = {}
@@ -243,6 +263,7 @@
             name=name,
             settings=self.deployment.hosts[name],
             folder=self.folder,
+            python_path=self.python_path,
         )
         self.daemons[name] = daemon
         return daemon
--- /dev/null
+++ b/bench/hotpath.py
@@ -0,0 +1,264 @@
+"""Measures the daemons' CPU per sub-request and the latency of queries.
+
+Run with ``python -m bench.hotpath`` from the root of the repository;
+``--other=PATH`` names the ``src`` of another checkout for a paired comparison.
+"""
+
+import concurrent.futures
+import json
+import os
+import pathlib
+import re
+import statistics
+import time
+import typing
+
+from absl import app
+from absl import flags
+
+from bench import checks
+from bench import fleet as fleet_module
+
+_OTHER = flags.DEFINE_string(
+    "other", None, "The src folder of another checkout to compare with."
+)
+_PAIRS = flags.DEFINE_integer(
+    "pairs", 5, "Measured phases of each tree.", lower_bound=1, upper_bound=50
+)
+_QUERIES = flags.DEFINE_integer(
+    "queries",
+    40,
+    "Queries per caller and phase.",
+    lower_bound=1,
+    upper_bound=2000,
+)
+_CALLERS = flags.DEFINE_integer(
+    "callers", 3, "Concurrent callers.", lower_bound=1, upper_bound=50
+)
+_NET = flags.DEFINE_integer(
+    "net", 60, "Second number of the addresses; the other tree takes the next."
+)
+_THREADS = flags.DEFINE_bool(
+    "threads", False, "Also report CPU per kind of thread."
+)
+
+_LOOKUP = "availability"
+_RECORD_STRIDE = 8192  # Eight records per reply.
+_SERVICE_MS = 4.0
+_WARMUP_QUERIES = 20  # Per caller; enough for windows, pools and caches.
+_DEADLINE_MS = 2000  # The longest that the example allows.
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_SOURCE = pathlib.Path(__file__).parent.parent / "src"
+_HOOKS = pathlib.Path(__file__).parent / "hooks"
+
+Usage = dict[str, float]
+
+
+class Tree:
+    """One source tree with its running fleet and its measurements.
+
+    Attributes:
+      name: "this" or "other".
+      fleet: Its fleet.
+      phases: One mapping of measures per load phase.
+      latencies: Seconds of all queries.
+      incomplete: Answers in load phases without the whole coverage.
+      threads: CPU seconds per kind of thread, over all load phases.
+    """
+
+    __slots__ = (
+        "name",
+        "fleet",
+        "phases",
+        "latencies",
+        "incomplete",
+        "threads",
+    )
+
+    def __init__(self, *, name: str, source: pathlib.Path, net: int):
+        paths = [str(_HOOKS)] if _THREADS.value else []
+        self.name = name
+        self.fleet = fleet_module.Fleet(
+            deployment=fleet_module.Deployment(name="torno-norte", net=net),
+            python_path=os.pathsep.join([*paths, str(source)]),
+            record_stride=_RECORD_STRIDE,
+            service_ms=_SERVICE_MS,
+        )
+        self.phases: list[dict[str, float]] = []
+        self.latencies: list[float] = []
+        self.incomplete = 0
+        self.threads: Usage = {}
+
+    def list_processes(self) -> list[int]:
+        """Returns the process ids of the daemons."""
+        return [d.process.pid for d in self.fleet.daemons.values()]
+
+
+def read_usage(processes: list[int]) -> Usage:
+    """Returns user and system CPU seconds of processes together."""
+    total = {"user": 0.0, "system": 0.0}
+    for process in processes:
+        user, system, _ = _read_times(pathlib.Path(f"/proc/{process}"))
+        total["user"] += user
+        total["system"] += system
+    return total
+
+
+def read_threads(processes: list[int]) -> Usage:
+    """Returns CPU seconds per kind of thread of processes together."""
+    total: Usage = {}
+    for process in processes:
+        for path in pathlib.Path(f"/proc/{process}/task").iterdir():
+            try:
+                user, system, name = _read_times(path)
+            except OSError:
+                continue  # The thread has ended.
+            kind = re.sub(r"[-_ (]*[0-9].*$", "", name)
+            total[kind] = total.get(kind, 0.0) + user + system
+    return total
+
+
+def _read_times(path: pathlib.Path) -> tuple[float, float, str]:
+    name, _, rest = (path / "stat").read_text().rpartition(")")
+    fields = rest.split()
+    user, system = int(fields[11]), int(fields[12])
+    return user / _TICKS_PER_S, system / _TICKS_PER_S, name.partition("(")[2]
+
+
+def run_queries(tree: Tree, count: int) -> list[float]:
+    """Runs ``count`` queries per caller; returns their seconds.
+
+    Raises:
+      FleetError: An answer is wrong.
+    """
+    hosts = sorted(tree.fleet.daemons)
+    lookup = tree.fleet.declaration.lookups[_LOOKUP]
+
+    def call(number: int) -> list[float]:
+        host = hosts[number * len(hosts) // _CALLERS.value % len(hosts)]
+        taken = []
+        for _ in range(count):
+            started = time.monotonic()
+            answer = tree.fleet.query(
+                host, _LOOKUP, _DEADLINE_MS, parameters="day=1"
+            )
+            taken.append(time.monotonic() - started)
+            faults = checks.find_faults(answer, lookup, stride=_RECORD_STRIDE)
+            if faults:
+                raise fleet_module.FleetError("; ".join(faults))
+            if answer["code"] != "ok":
+                tree.incomplete += 1
+        return taken
+
+    with concurrent.futures.ThreadPoolExecutor(_CALLERS.value) as pool:
+        parts = list(pool.map(call, range(_CALLERS.value)))
+    return [seconds for part in parts for seconds in part]
+
+
+def measure_phase(loaded: Tree) -> None:
+    """Loads a tree, lets it idle equally long and notes the difference."""
+    processes = loaded.list_processes()
+    services = len(loaded.fleet.declaration.lookups[_LOOKUP].services)
+    threads = read_threads(processes)
+    before = read_usage(processes)
+    started = time.monotonic()
+    latencies = run_queries(loaded, _QUERIES.value)
+    elapsed_s = time.monotonic() - started
+    middle = read_usage(processes)
+    for kind, seconds in read_threads(processes).items():
+        used = seconds - threads.get(kind, 0.0)
+        loaded.threads[kind] = loaded.threads.get(kind, 0.0) + used
+    time.sleep(elapsed_s)
+    after = read_usage(processes)
+    net = {
+        kind: (middle[kind] - before[kind]) - (after[kind] - middle[kind])
+        for kind in before
+    }
+    loaded.latencies.extend(latencies)
+    count = len(latencies)
+    loaded.phases.append(
+        {
+            "query_us": sum(net.values()) / count * 1e6,
+            "subrequest_us": sum(net.values()) / count / services * 1e6,
+            "user_us": net["user"] / count / services * 1e6,
+            "system_us": net["system"] / count / services * 1e6,
+            "p50_ms": find_percentile(latencies, 0.50),
+            "p99_ms": find_percentile(latencies, 0.99),
+        }
+    )
+
+
+def find_percentile(latencies: list[float], part: float) -> float:
+    """Returns a percentile in milliseconds."""
+    ordered = sorted(latencies)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * part))] * 1000
+
+
+def summarise(tree: Tree) -> dict[str, typing.Any]:
+    """Returns medians over a tree's phases and its CPU per thread."""
+    summary: dict[str, typing.Any] = {
+        key: round(statistics.median(p[key] for p in tree.phases), 1)
+        for key in tree.phases[0]
+    }
+    summary["incomplete"] = tree.incomplete
+    summary["p50_ms"] = round(find_percentile(tree.latencies, 0.50), 1)
+    summary["p99_ms"] = round(find_percentile(tree.latencies, 0.99), 1)
+    if _THREADS.value:
+        services = len(tree.fleet.declaration.lookups[_LOOKUP].services)
+        per = len(tree.latencies) * services
+        summary["subrequest_us_by_thread"] = {
+            kind: round(seconds / per * 1e6, 1)
+            for kind, seconds in sorted(
+                tree.threads.items(), key=lambda row: -row[1]
+            )
+        }
+    return summary
+
+
+def compare(this: Tree, other: Tree) -> dict[str, typing.Any]:
+    """Returns this tree's measures over the other's, per pair and median."""
+    compared: dict[str, typing.Any] = {}
+    for key in ("subrequest_us", "p50_ms", "p99_ms"):
+        ratios = [
+            round(a[key] / b[key], 3)
+            for a, b in zip(this.phases, other.phases, strict=True)
+        ]
+        compared[f"{key}_ratios"] = ratios
+        compared[f"{key}_ratio"] = round(statistics.median(ratios), 3)
+    return compared
+
+
+def run(trees: list[Tree]) -> dict[str, typing.Any]:
+    """Measures running fleets by turns; returns the result document."""
+    for tree in trees:
+        run_queries(tree, _WARMUP_QUERIES)
+        tree.incomplete = 0
+    for number in range(_PAIRS.value):
+        # The order changes so that a drift of the machine favours neither.
+        for tree in trees if number % 2 == 0 else reversed(trees):
+            measure_phase(tree)
+    result = {tree.name: summarise(tree) for tree in trees}
+    if len(trees) > 1:
+        result["compared"] = compare(*trees)
+    return result
+
+
+def main(argv: list[str]) -> None:
+    """Starts the fleets, measures and prints one JSON object."""
+    del argv
+    trees = [Tree(name="this", source=_SOURCE, net=_NET.value)]
+    if _OTHER.value is not None:
+        source = pathlib.Path(_OTHER.value).resolve()
+        trees.append(Tree(name="other", source=source, net=_NET.value + 1))
+    try:
+        for tree in trees:
+            tree.fleet.start()
+        result = run(trees)
+    finally:
+        for tree in trees:
+            tree.fleet.stop()
+    print(json.dumps(result))  # noqa: T201
+
+
+if __name__ == "__main__":
+    app.run(main)
