Keep connections to targets without urllib3's pool

Cause: of 942 us of CPU per sub-request in the target transport's threads a part went into the pool's queue, its request wrapper and its timeouts. A changed share closed the pool while its connections in use stayed open, so that the new pool could exceed the share. Change: TargetConnections keeps urllib3's connections per target, most recently used first. Connections in use count towards the limit over its changes. The connection is opened before the checks of deadline and lease, so that a slow connect no longer lies between the checks and the send. A faulty, cut or unfinished reply closes its connection.

--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -1,18 +1,20 @@
 """HTTP to targets through urllib3."""
 
+import http.client
 import logging
 import threading
 
-import urllib3
 import urllib3.exceptions
 
 from bramleyfork.codecs import headers
 from bramleyfork.core import blackboard
 from bramleyfork.core import clocks
 from bramleyfork.core import replies
+from bramleyfork.core import requests
 from bramleyfork.core import transports
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import lease as lease_decisions
+from bramleyfork.transports import target_connections
 
 _LOG = logging.getLogger(__name__)
 
@@ -21,13 +23,6 @@
 _BODY_LIMIT = 4 * 1024 * 1024  # Bytes; larger replies count as unreadable.
 _IDLE_WAIT_S = 5.0
 
-_NOT_SENT = (
-    urllib3.exceptions.NewConnectionError,
-    urllib3.exceptions.ConnectTimeoutError,
-    urllib3.exceptions.EmptyPoolError,
-    urllib3.exceptions.ClosedPoolError,
-)
-
 
 @transports.register("target_transport")
 class TargetTransport(transports.Transport):
@@ -44,8 +39,8 @@
         self._cursor = board.find_log("attempts").open_cursor()
         self._writer = board.grant_writer("attempt_results", self.name)
         self._lease = board.find_table("lease")
-        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
-        self._pools_lock = threading.Lock()
+        self._connections: dict[str, target_connections.TargetConnections] = {}
+        self._connections_lock = threading.Lock()
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(
@@ -62,9 +57,14 @@
     def stop(self) -> None:
         """Ends the threads after their current attempt."""
         self._stopped.set()
-        with self._pools_lock:
-            for pool in self._pools.values():
-                pool.close()
+        with self._connections_lock:
+            for connections in self._connections.values():
+                connections.close_all()
+
+    def count_connections(self, address: str) -> int:
+        """Returns the connections to a target, in use or kept."""
+        connections = self._connections.get(address)
+        return 0 if connections is None else connections.num_open
 
     def _run(self) -> None:
         while not self._stopped.is_set():
@@ -78,84 +78,124 @@
 
     def _carry(self, attempt: replies.Attempt) -> replies.AttemptResult:
         """Sends one attempt and returns what became of it."""
+        began_at = self.clock.read_monotonic()
+        remaining_s = attempt.request.deadline - began_at
+        if remaining_s <= 0.0:
+            return _fail(attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0)
+        connections = self._find_connections(attempt)
+        try:
+            connection = connections.take(min(_CONNECT_TIMEOUT_S, remaining_s))
+        except target_connections.NoConnectionError as error:
+            return self._fail_unsent(attempt, began_at, str(error))
+        reusable = False
+        try:
+            if connection.is_closed:
+                connection.timeout = min(_CONNECT_TIMEOUT_S, remaining_s)
+                connection.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return self._fail_unsent(attempt, began_at, str(error))
+        else:
+            result, reusable = self._exchange(connection, attempt)
+        finally:
+            if reusable:
+                connections.keep(connection)
+            else:
+                connections.discard(connection)
+        if result.code == "bad_reply":
+            # Later replies on other connections may be shifted as well.
+            connections.close_all()
+        return result
+
+    def _fail_unsent(
+        self, attempt: replies.Attempt, began_at: float, detail: str
+    ) -> replies.AttemptResult:
+        elapsed_s = self.clock.read_monotonic() - began_at
+        return _fail(
+            attempt,
+            "connect_failed",
+            verdicts.Verdict.NOT_RUN,
+            elapsed_s,
+            detail,
+        )
+
+    def _exchange(
+        self,
+        connection: target_connections.Connection,
+        attempt: replies.Attempt,
+    ) -> tuple[replies.AttemptResult, bool]:
+        """Sends on an open connection.
+
+        Returns:
+          The result, and whether the connection can carry another attempt.
+        """
         request = attempt.request
-        pool = self._find_pool(attempt)
         sent_at = self.clock.read_monotonic()
         # The process may have been stopped since the decision to send, so
         # deadline and lease are checked immediately before the send.
         if request.deadline <= sent_at:
-            return _fail(attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0)
+            return _fail(
+                attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0
+            ), True
         if not lease_decisions.is_held(self._lease.get("current"), sent_at):
-            return _fail(attempt, "no_lease", verdicts.Verdict.NOT_RUN, 0.0)
-        remaining_s = request.deadline - sent_at
+            return _fail(
+                attempt, "no_lease", verdicts.Verdict.NOT_RUN, 0.0
+            ), True
         try:
-            status, reply_headers, body = self._exchange(
-                pool, attempt, remaining_s
-            )
-        except _NOT_SENT as error:
-            code, verdict = "connect_failed", verdicts.Verdict.NOT_RUN
-            detail = str(error)
-        except urllib3.exceptions.TimeoutError as error:
-            code, verdict = "timeout", verdicts.Verdict.MAY_HAVE_RUN
-            detail = str(error)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            code, verdict = "died", verdicts.Verdict.MAY_HAVE_RUN
-            detail = str(error)
+            reply = self._converse(connection, request, sent_at)
+        except TimeoutError as error:
+            code, detail = "timeout", str(error)
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+        ) as error:
+            code, detail = "died", str(error)
         else:
-            return self._decode(attempt, status, reply_headers, body, sent_at)
+            result = self._decode(attempt, reply, sent_at)
+            return result, reply.reusable and result.code != "bad_reply"
         elapsed_s = self.clock.read_monotonic() - sent_at
-        return _fail(attempt, code, verdict, elapsed_s, detail)
+        verdict = verdicts.Verdict.MAY_HAVE_RUN
+        return _fail(attempt, code, verdict, elapsed_s, detail), False
 
-    def _exchange(
+    def _converse(
         self,
-        pool: urllib3.HTTPConnectionPool,
-        attempt: replies.Attempt,
-        remaining_s: float,
-    ) -> tuple[int, headers.Headers, bytes]:
+        connection: target_connections.Connection,
+        request: requests.SubRequest,
+        sent_at: float,
+    ) -> "_Reply":
+        """Writes a request and reads the reply until the deadline."""
+        remaining_s = request.deadline - sent_at
         path, request_headers, body = headers.encode_request(
-            attempt.request, max(1, int(remaining_s * 1000))
+            request, max(1, int(remaining_s * 1000))
         )
-        response = pool.urlopen(
-            "POST",
-            path,
-            body=body,
-            headers=request_headers,
-            retries=False,
-            redirect=False,
-            preload_content=False,
-            pool_timeout=min(_CONNECT_TIMEOUT_S, remaining_s),
-            timeout=urllib3.Timeout(
-                connect=min(_CONNECT_TIMEOUT_S, remaining_s),
-                read=remaining_s,
-            ),
+        connection.timeout = remaining_s
+        connection.request(
+            "POST", path, body, request_headers, preload_content=False
         )
+        response = connection.getresponse()
         content = response.read(_BODY_LIMIT)
         if response.read(1):
-            response.close()
             raise urllib3.exceptions.HTTPError("reply is too large")
-        response.release_conn()
-        return response.status, response.headers, content
+        return _Reply(
+            status=response.status,
+            headers=response.headers,
+            body=content,
+            reusable=not connection.is_closed,
+        )
 
     def _decode(
-        self,
-        attempt: replies.Attempt,
-        status: int,
-        reply_headers: headers.Headers,
-        body: bytes,
-        sent_at: float,
+        self, attempt: replies.Attempt, reply: "_Reply", sent_at: float
     ) -> replies.AttemptResult:
         elapsed_s = self.clock.read_monotonic() - sent_at
         try:
             return headers.decode_reply(
                 attempt.request,
-                status=status,
-                headers=reply_headers,
-                body=body,
+                status=reply.status,
+                headers=reply.headers,
+                body=reply.body,
                 elapsed_s=elapsed_s,
             )
         except headers.ReplyError as error:
-            # Later replies on the same connection may be shifted as well.
-            self._drop_pool(attempt.address)
             return _fail(
                 attempt,
                 "bad_reply",
@@ -166,58 +206,76 @@
 
     def _cancel(self, attempt: replies.Attempt) -> None:
         """Tells a target that an attempt is no longer wanted."""
+        connections = self._find_connections(attempt)
         try:
-            self._find_pool(attempt).request(
-                "DELETE",
-                f"/v1/attempts/{attempt.attempt_id}",
-                retries=False,
-                redirect=False,
-                pool_timeout=_CANCEL_TIMEOUT_S,
-                timeout=_CANCEL_TIMEOUT_S,
-            )
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            _LOG.debug(
-                "cancellation failed",
-                extra={"attempt": attempt.attempt_id, "error": str(error)},
-            )
+            connection = connections.take(_CANCEL_TIMEOUT_S)
+        except target_connections.NoConnectionError as error:
+            _log_cancellation(attempt, error)
+            return
+        reusable = False
+        try:
+            connection.timeout = _CANCEL_TIMEOUT_S
+            connection.request("DELETE", f"/v1/attempts/{attempt.attempt_id}")
+            connection.getresponse()
+            reusable = not connection.is_closed
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+        ) as error:
+            _log_cancellation(attempt, error)
+        finally:
+            if reusable:
+                connections.keep(connection)
+            else:
+                connections.discard(connection)
 
-    def _find_pool(
+    def _find_connections(
         self, attempt: replies.Attempt
-    ) -> urllib3.HTTPConnectionPool:
-        with self._pools_lock:
-            pool = self._pools.get(attempt.address)
-            if pool is not None and pool.num_allowed == attempt.connections:
-                return pool
-            if pool is not None:
-                pool.close()
-            pool = self._open_pool(attempt)
-            self._pools[attempt.address] = pool
-            return pool
-
-    def _open_pool(self, attempt: replies.Attempt) -> "_BoundedPool":
-        host, _, port = attempt.address.rpartition(":")
-        own_ip = self.settings.peer_address.rpartition(":")[0]
-        return _BoundedPool(
-            host,
-            int(port),
-            maxsize=attempt.connections,
-            block=True,
-            source_address=(own_ip, 0),
+    ) -> target_connections.TargetConnections:
+        connections = self._connections.get(attempt.address)
+        if connections is None:
+            with self._connections_lock:
+                connections = self._connections.setdefault(
+                    attempt.address, self._build_connections(attempt)
+                )
+        connections.change_limit(attempt.connections)
+        return connections
+
+    def _build_connections(
+        self, attempt: replies.Attempt
+    ) -> target_connections.TargetConnections:
+        return target_connections.TargetConnections(
+            address=attempt.address,
+            source=self.settings.peer_address.rpartition(":")[0],
+            limit=attempt.connections,
         )
 
-    def _drop_pool(self, address: str) -> None:
-        with self._pools_lock:
-            pool = self._pools.pop(address, None)
-        if pool is not None:
-            pool.close()
 
+class _Reply:
+    """A reply of a target that was read to its end."""
 
-class _BoundedPool(urllib3.HTTPConnectionPool):
-    """A pool that remembers how many connections it may open."""
+    __slots__ = ("status", "headers", "body", "reusable")
 
-    def __init__(self, *args, maxsize: int, **options):
-        super().__init__(*args, maxsize=maxsize, **options)
-        self.num_allowed = maxsize
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: headers.Headers,
+        body: bytes,
+        reusable: bool,
+    ):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.reusable = reusable
+
+
+def _log_cancellation(attempt: replies.Attempt, error: Exception) -> None:
+    _LOG.debug(
+        "cancellation failed",
+        extra={"attempt": attempt.attempt_id, "error": str(error)},
+    )
 
 
 def _fail(
--- /dev/null
+++ b/tests/transports/test_transports_targets.py
@@ -0,0 +1,248 @@
+import contextlib
+import json
+import queue
+import socket
+import threading
+
+import pytest
+from tests import boards
+from tests import creators
+
+from bramleyfork.core import clocks
+from bramleyfork.core import fleet
+from bramleyfork.core import replies
+from bramleyfork.core import requests
+from bramleyfork.core import verdicts
+from bramleyfork.transports import targets
+
+PATIENCE_S = 5.0
+NOT_RUN = verdicts.Verdict.NOT_RUN
+MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
+
+
+class Server:
+    """A target that answers as scripted, one connection per thread."""
+
+    def __init__(self):
+        self.reply = build_reply
+        self.requests = queue.Queue()
+        self.opened = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        # Closing alone does not end a call of accept that waits.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self.close_connections()
+
+    def close_connections(self):
+        for connection in self.opened:
+            connection.close()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.opened.append(connection)
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        stream = connection.makefile("rwb")
+        while (line := stream.readline()).strip():
+            headers = {}
+            while (row := stream.readline().strip()) != b"":
+                name, _, value = row.decode().partition(": ")
+                headers[name] = value
+            stream.read(int(headers.get("Content-Length", 0)))
+            self.requests.put((line.split()[0].decode(), headers))
+            stream.write(self.reply(headers.get("Attempt-Id", "")))
+            stream.flush()
+            if self.reply is cut_reply:
+                break
+        stream.close()
+        connection.close()
+
+
+def build_reply(attempt_id, body_id=None, extra=""):
+    body = json.dumps(
+        {
+            "attempt_id": body_id or attempt_id,
+            "index_version": 41,
+            "map_version": 7,
+            "low": 0,
+            "high": 65536,
+            "records": [[17, {"seats": 2}]],
+            "holdings": [[41, 7, 0, 65536]],
+        }
+    )
+    return (
+        f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt_id}\r\nTarget-Epoch: e1\r\n"
+        "Target-State: warm\r\nTarget-Load: 0.5\r\nRun: ran\r\n"
+        f"{extra}Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def cut_reply(attempt_id):
+    return build_reply(attempt_id)[:-20]
+
+
+def mistake_reply(_attempt_id):
+    return build_reply("another")
+
+
+def close_reply(attempt_id):
+    return build_reply(attempt_id, extra="Connection: close\r\n")
+
+
+class Rig:
+    def __init__(self, address):
+        self.fed = boards.Board()
+        self.address = address
+        self.clock = clocks.SystemClock()
+        self.results = self.fed.board.find_log("attempt_results").open_cursor()
+        self.hold_lease(60.0)
+        self.transport = targets.TargetTransport(
+            board=self.fed.board,
+            settings=boards.create_settings(target_threads=4),
+            clock=self.clock,
+        )
+        self.transport.start()
+
+    def hold_lease(self, seconds):
+        now = self.clock.read_monotonic()
+        self.fed.put(
+            "lease",
+            "current",
+            fleet.Lease(expires_at=now + seconds, source="platform"),
+        )
+
+    def send(self, number, deadline_s=PATIENCE_S, **fields):
+        request = requests.SubRequest(
+            attempt_id=f"a{number}",
+            query_id="q",
+            router="bilbao-1",
+            owner="bilbao-1",
+            target="booking-01-a",
+            service="booking-01",
+            lookup="availability",
+            key_range=creators.create_range(0, 65536),
+            snapshot=creators.SNAPSHOT,
+            parameters="",
+            urgent=True,
+            idempotent=True,
+            deadline=self.clock.read_monotonic() + deadline_s,
+            fingerprint="f",
+            suspect=False,
+        )
+        fields = {"connections": 4, "cancel": False} | fields
+        self.fed.append(
+            "attempts",
+            replies.Attempt(
+                attempt_id=request.attempt_id,
+                address=self.address,
+                request=request,
+                **fields,
+            ),
+        )
+
+    def ask(self, number, **fields):
+        self.send(number, **fields)
+        return self.results.wait_for_one(PATIENCE_S)
+
+
+@pytest.fixture
+def server():
+    created = Server()
+    yield created
+    created.close()
+
+
+@pytest.fixture
+def rig(server):
+    created = Rig(server.address)
+    yield created
+    created.transport.stop()
+
+
+def test_connection_is_kept_after_a_whole_reply(server, rig):
+    # Guards against a connection per attempt, which costs the time to connect.
+    results = [rig.ask(n) for n in range(3)]
+    assert [r.code for r in results] == ["ok"] * 3
+    assert results[0].answers == ((17, {"seats": 2}),)
+    assert len(server.opened) == 1
+
+
+def test_closed_connection_is_noticed_before_the_request(server, rig):
+    # Guards against losing an attempt on a connection the target has closed.
+    server.reply = close_reply
+    rig.ask(1)
+    server.reply = build_reply
+    assert rig.ask(2).code == "ok"
+    server.opened[-1].shutdown(socket.SHUT_RDWR)
+    assert rig.ask(3).code == "ok"
+    assert len(server.opened) == 3
+
+
+@pytest.mark.parametrize(
+    ("reply", "code"), [(cut_reply, "died"), (mistake_reply, "bad_reply")]
+)
+def test_connection_is_closed_after_a_faulty_reply(server, rig, reply, code):
+    # Guards H5: later replies on that connection may belong to other attempts.
+    server.reply = reply
+    result = rig.ask(1)
+    assert (result.code, result.verdict) == (code, MAY_HAVE_RUN)
+    server.reply = build_reply
+    assert rig.ask(2).code == "ok"
+    assert len(server.opened) == 2
+
+
+def test_attempt_is_not_sent_without_lease_or_time(server, rig):
+    # Guards H6: NOT_RUN must mean that the target has seen no byte.
+    rig.hold_lease(-1.0)
+    assert (rig.ask(1).code, rig.ask(2).verdict) == ("no_lease", NOT_RUN)
+    rig.hold_lease(60.0)
+    result = rig.ask(3, deadline_s=-0.1)
+    assert (result.code, result.verdict) == ("expired", NOT_RUN)
+    assert server.requests.empty()
+
+
+def test_refused_connection_is_not_run(server, rig):
+    # Guards H6: an attempt without a connection has not run.
+    server.close()
+    result = rig.ask(1)
+    assert (result.code, result.verdict) == ("connect_failed", NOT_RUN)
+
+
+def test_share_bounds_the_connections(server, rig):
+    # Guards the connection limit: a smaller share must count those in use.
+    free = threading.Event()
+
+    def wait_reply(attempt_id):
+        free.wait(PATIENCE_S)
+        return build_reply(attempt_id)
+
+    server.reply = wait_reply
+    for number in range(2):
+        rig.send(number, connections=2)
+        server.requests.get(timeout=PATIENCE_S)
+    late = rig.ask(3, connections=1, deadline_s=0.1)
+    assert (late.code, late.verdict) == ("connect_failed", NOT_RUN)
+    free.set()
+    codes = [rig.results.wait_for_one(PATIENCE_S).code for _ in range(2)]
+    assert codes == ["ok", "ok"]
+    assert rig.ask(4, connections=1).code == "ok"
+    assert rig.transport.count_connections(server.address) == 1
+
+
+def test_cancellation_reaches_the_target(server, rig):
+    # Guards against targets that keep running what nobody waits for.
+    server.reply = lambda _: b"HTTP/1.1 204 No Content\r\n\r\n"
+    rig.send(1, cancel=True)
+    assert server.requests.get(timeout=PATIENCE_S)[0] == "DELETE"
