Write requests to targets with one call and read replies without urllib3

Cause: a request went out as two writes, header and body, and its reply was parsed by http.client and then wrapped once more by urllib3. Change: Connection is an http.client connection that joins the parts of a request and writes them with one call. Headers are indexed once, and the first of a name counts. The reply must still have its whole Content-Length and at most the limit. A request that HTTP forbids is rejected as not run; the ValueError had ended the thread.

--- a/src/bramleyfork/codecs/headers.py
+++ b/src/bramleyfork/codecs/headers.py
@@ -54,6 +54,16 @@
     return path, headers, json.dumps(body, separators=(",", ":")).encode()
 
 
+def index_headers(
+    pairs: collections.abc.Iterable[tuple[str, str]],
+) -> dict[str, str]:
+    """Returns headers by name in lower case; the first of a name counts."""
+    indexed: dict[str, str] = {}
+    for name, value in pairs:
+        indexed.setdefault(name.lower(), value)
+    return indexed
+
+
 def decode_reply(
     request: requests.SubRequest,
     *,
@@ -67,7 +77,7 @@
     Args:
       request: The sub-request that was sent.
       status: HTTP status.
-      headers: HTTP headers, case-insensitive.
+      headers: HTTP headers by name in lower case.
       body: Whole body.
       elapsed_s: Seconds since the send.
 
@@ -75,16 +85,16 @@
       ReplyError: The reply is not of this attempt or not readable; whether the
         request ran is unknown.
     """
-    if headers.get("Attempt-Id") != request.attempt_id:
+    if headers.get("attempt-id") != request.attempt_id:
         raise ReplyError(
-            f"reply to attempt {headers.get('Attempt-Id')!r} instead of"
+            f"reply to attempt {headers.get('attempt-id')!r} instead of"
             f" {request.attempt_id!r}"
         )
     content = _parse_body(body)
     report = _parse_report(headers, content)
-    verdict = _RUN_VERDICTS.get(headers.get("Run", ""))
+    verdict = _RUN_VERDICTS.get(headers.get("run", ""))
     if verdict is None:
-        raise ReplyError(f"header Run has the value {headers.get('Run')!r}")
+        raise ReplyError(f"header Run has the value {headers.get('run')!r}")
     if status == 200:
         return _decode_records(request, content, report, elapsed_s)
     code = content.get("error")
@@ -115,18 +125,18 @@
 def _parse_report(
     headers: Headers, content: dict[str, typing.Any]
 ) -> requests.TargetReport:
-    state = headers.get("Target-State")
+    state = headers.get("target-state")
     if state not in _STATES:
         raise ReplyError(f"header Target-State has the value {state!r}")
     try:
-        load = float(headers.get("Target-Load", "0"))
+        load = float(headers.get("target-load", "0"))
         holdings = tuple(
             parse_holding(row) for row in content.get("holdings", ())
         )
     except (TypeError, ValueError) as error:
         raise ReplyError(f"report is not readable: {error}") from error
     return requests.TargetReport(
-        epoch=headers.get("Target-Epoch", ""),
+        epoch=headers.get("target-epoch", ""),
         state=state,
         load=load,
         holdings=holdings,
@@ -179,5 +189,5 @@
 
 
 def _parse_retry_after(headers: Headers) -> int | None:
-    text = headers.get("Retry-After-Ms", "")
+    text = headers.get("retry-after-ms", "")
     return int(text) if text.isdigit() else None
--- a/src/bramleyfork/transports/target_connections.py
+++ b/src/bramleyfork/transports/target_connections.py
@@ -1,22 +1,98 @@
 """Kept HTTP connections to targets, bounded per target."""
 
 import collections.abc
+import http.client
+import select
 import threading
 import time
 
-import urllib3.connection
-
 
 class NoConnectionError(Exception):
     """No connection became free in time."""
 
 
-class Connection(urllib3.connection.HTTPConnection):
-    """A connection that knows which generation of its target it belongs to."""
+class InvalidRequestError(Exception):
+    """A request cannot be written as HTTP; no byte of it was sent."""
+
+
+class Connection(http.client.HTTPConnection):
+    """A connection that writes each request with one call.
+
+    Attributes:
+      generation: Generation of its target's connections that it belongs to.
+    """
 
-    def __init__(self, *args, generation: int, **options):
-        super().__init__(*args, **options)
+    def __init__(self, host: str, port: int, *, source: str, generation: int):
+        super().__init__(host, port, source_address=(source, 0))
         self.generation = generation
+        self._parts: list[bytes] | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether there is no connection, or no more."""
+        return self.sock is None
+
+    def open(self, timeout_s: float) -> None:
+        """Connects.
+
+        Raises:
+          OSError: The target cannot be reached in time.
+        """
+        self.timeout = timeout_s
+        self.connect()
+
+    def find_fault(self) -> str:
+        """Returns why the open connection cannot be used; "" if it can."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return "closed or out of step" if poll.poll(0) else ""
+
+    def write_request(
+        self,
+        method: str,
+        path: str,
+        headers: collections.abc.Mapping[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> None:
+        """Writes a request; ``timeout_s`` is also that of the reply's reads.
+
+        Nothing is written when the request is invalid.
+
+        Raises:
+          InvalidRequestError: A header or the path is invalid.
+          OSError: The connection broke or the time is over.
+        """
+        self._parts = []
+        try:
+            self.request(method, path, body, dict(headers))
+            data = b"".join(self._parts)
+        except (ValueError, http.client.InvalidURL) as error:
+            raise InvalidRequestError(str(error)) from error
+        finally:
+            self._parts = None
+        self.sock.settimeout(timeout_s)
+        self.sock.sendall(data)
+
+    def send(self, data: bytes) -> None:
+        """Collects a part of the request; called by http.client."""
+        self._parts.append(data)
+
+    def read_reply(self, limit: int) -> tuple[http.client.HTTPResponse, bytes]:
+        """Returns the reply with its whole body.
+
+        Raises:
+          http.client.HTTPException: The reply is not HTTP, ends early or is
+            longer than ``limit`` bytes.
+          OSError: The connection broke or the time is over.
+        """
+        response = self.getresponse()
+        body = response.read(limit)
+        if response.read(1):
+            raise http.client.HTTPException("reply is too large")
+        if response.length:
+            raise http.client.IncompleteRead(body, response.length)
+        return response, body
 
 
 class TargetConnections:
@@ -83,7 +159,7 @@
         until = time.monotonic() + timeout_s
         while True:
             connection = self._take_any(until)
-            if connection.is_closed or connection.is_connected:
+            if connection.is_closed or not connection.find_fault():
                 return connection
             self.discard(connection)
 
@@ -134,7 +210,7 @@
             return Connection(
                 self._host,
                 self._port,
-                source_address=(self._source, 0),
+                source=self._source,
                 generation=self._generation,
             )
 
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -1,11 +1,9 @@
-"""HTTP to targets through urllib3."""
+"""HTTP to targets."""
 
 import http.client
 import logging
 import threading
 
-import urllib3.exceptions
-
 from bramleyfork.codecs import headers
 from bramleyfork.core import blackboard
 from bramleyfork.core import clocks
@@ -90,9 +88,8 @@
         reusable = False
         try:
             if connection.is_closed:
-                connection.timeout = min(_CONNECT_TIMEOUT_S, remaining_s)
-                connection.connect()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+                connection.open(min(_CONNECT_TIMEOUT_S, remaining_s))
+        except OSError as error:
             return self._fail_unsent(attempt, began_at, str(error))
         else:
             result, reusable = self._exchange(connection, attempt)
@@ -142,13 +139,13 @@
             ), True
         try:
             reply = self._converse(connection, request, sent_at)
+        except target_connections.InvalidRequestError as error:
+            return _fail(
+                attempt, "rejected", verdicts.Verdict.NOT_RUN, 0.0, str(error)
+            ), False
         except TimeoutError as error:
             code, detail = "timeout", str(error)
-        except (
-            urllib3.exceptions.HTTPError,
-            http.client.HTTPException,
-            OSError,
-        ) as error:
+        except (http.client.HTTPException, OSError) as error:
             code, detail = "died", str(error)
         else:
             result = self._decode(attempt, reply, sent_at)
@@ -168,17 +165,13 @@
         path, request_headers, body = headers.encode_request(
             request, max(1, int(remaining_s * 1000))
         )
-        connection.timeout = remaining_s
-        connection.request(
-            "POST", path, body, request_headers, preload_content=False
+        connection.write_request(
+            "POST", path, request_headers, body, remaining_s
         )
-        response = connection.getresponse()
-        content = response.read(_BODY_LIMIT)
-        if response.read(1):
-            raise urllib3.exceptions.HTTPError("reply is too large")
+        response, content = connection.read_reply(_BODY_LIMIT)
         return _Reply(
             status=response.status,
-            headers=response.headers,
+            headers=headers.index_headers(response.getheaders()),
             body=content,
             reusable=not connection.is_closed,
         )
@@ -214,15 +207,15 @@
             return
         reusable = False
         try:
-            connection.timeout = _CANCEL_TIMEOUT_S
-            connection.request("DELETE", f"/v1/attempts/{attempt.attempt_id}")
-            connection.getresponse()
+            if connection.is_closed:
+                connection.open(_CANCEL_TIMEOUT_S)
+            path = f"/v1/attempts/{attempt.attempt_id}"
+            connection.write_request(
+                "DELETE", path, {}, None, _CANCEL_TIMEOUT_S
+            )
+            connection.read_reply(_BODY_LIMIT)
             reusable = not connection.is_closed
-        except (
-            urllib3.exceptions.HTTPError,
-            http.client.HTTPException,
-            OSError,
-        ) as error:
+        except (http.client.HTTPException, OSError) as error:
             _log_cancellation(attempt, error)
         finally:
             if reusable:
--- a/tests/transports/test_transports_targets.py
+++ b/tests/transports/test_transports_targets.py
@@ -54,6 +54,10 @@
             ).start()
 
     def _serve(self, connection):
+        with contextlib.suppress(OSError):
+            self._serve_stream(connection)
+
+    def _serve_stream(self, connection):
         stream = connection.makefile("rwb")
         while (line := stream.readline()).strip():
             headers = {}
@@ -123,9 +127,9 @@
             fleet.Lease(expires_at=now + seconds, source="platform"),
         )
 
-    def send(self, number, deadline_s=PATIENCE_S, **fields):
+    def send(self, attempt_id, deadline_s=PATIENCE_S, **fields):
         request = requests.SubRequest(
-            attempt_id=f"a{number}",
+            attempt_id=f"{attempt_id}",
             query_id="q",
             router="bilbao-1",
             owner="bilbao-1",
@@ -152,8 +156,8 @@
             ),
         )
 
-    def ask(self, number, **fields):
-        self.send(number, **fields)
+    def ask(self, attempt_id, **fields):
+        self.send(attempt_id, **fields)
         return self.results.wait_for_one(PATIENCE_S)
 
 
@@ -213,6 +217,13 @@
     assert server.requests.empty()
 
 
+def test_invalid_request_is_not_run(server, rig):
+    # Guards against a thread that ends at an attempt id that HTTP forbids.
+    results = [rig.ask("a\nb") for _ in range(5)]
+    assert {(r.code, r.verdict) for r in results} == {("rejected", NOT_RUN)}
+    assert rig.ask(1).code == "ok"
+
+
 def test_refused_connection_is_not_run(server, rig):
     # Guards H6: an attempt without a connection has not run.
     server.close()
@@ -244,5 +255,7 @@
 def test_cancellation_reaches_the_target(server, rig):
     # Guards against targets that keep running what nobody waits for.
     server.reply = lambda _: b"HTTP/1.1 204 No Content\r\n\r\n"
-    rig.send(1, cancel=True)
-    assert server.requests.get(timeout=PATIENCE_S)[0] == "DELETE"
+    for number in range(5):
+        rig.send(number, cancel=True)
+        assert server.requests.get(timeout=PATIENCE_S)[0] == "DELETE"
+    assert len(server.opened) < 5
