Look up members and target states instead of copying their tables

Cause: the router copied the table of members for each attempt and that of targets for each query. The targets were copied before the version was read, so that a change between the two kept an old plan under the new version. Change: owners are looked up in the table; targets are copied only when a plan is made, after the version was read.

--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -3,6 +3,7 @@
 import math
 import random
 
+from bramleyfork.core import blackboard
 from bramleyfork.core import declarations
 from bramleyfork.core import fleet
 from bramleyfork.core import replies
@@ -92,8 +93,7 @@
     def find_plan(
         self,
         lookup: declarations.Lookup,
-        statuses: dict[str, fleet.TargetStatus],
-        version: int,
+        statuses: blackboard.Table,
         excluded: frozenset[requests.Snapshot],
     ) -> snapshots.Plan:
         """Returns the plan of a lookup, from a cache while nothing changed.
@@ -101,9 +101,11 @@
         Args:
           lookup: The lookup.
           statuses: The section ``targets``.
-          version: Version of that section.
           excluded: Snapshots given up on.
         """
+        # The version is read before the records, so that a change between
+        # the two makes the plan again instead of keeping an old one.
+        version = statuses.version
         if version != self._plans_version:
             self._plans.clear()
             self._plans_version = version
@@ -111,7 +113,7 @@
         if cached is not None and not excluded:
             return cached
         plan = snapshots.plan_query(
-            self._collect_holdings(lookup, statuses), excluded
+            self._collect_holdings(lookup, statuses.copy_records()), excluded
         )
         if not excluded:
             self._plans[lookup.name] = plan
@@ -130,7 +132,7 @@
     def find_owner(
         self,
         target: str,
-        members: dict[str, fleet.Member],
+        members: blackboard.Table,
         refused: set[tuple[str, str]],
         now: float,
     ) -> str | None:
--- a/src/bramleyfork/controllers/_sender.py
+++ b/src/bramleyfork/controllers/_sender.py
@@ -53,11 +53,10 @@
         candidates = [
             c for c in segment.plan.candidates if c not in segment.tried
         ]
-        members = self._members.copy_records()
         while candidates:
             target = self._view.choose_target(candidates, now)
             owner = self._view.find_owner(
-                target, members, segment.refused_owners, now
+                target, self._members, segment.refused_owners, now
             )
             if owner is not None:
                 return target, owner
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -159,11 +159,9 @@
 
     def _use_plan(self, route: _route.Route, now: float) -> None:
         """Fixes snapshot and segments and sends the first attempts."""
-        targets = self.table("targets")
         plan = self._view.find_plan(
             route.lookup,
-            targets.copy_records(),
-            targets.version,
+            self.table("targets"),
             frozenset(route.tried_snapshots),
         )
         route.use_plan(plan)
@@ -401,10 +399,9 @@
         total = route.query.deadline - route.query.received_at
         if route.deadline - now < _RESTART_PART * total:
             return False
-        targets = self.table("targets")
         excluded = frozenset(route.tried_snapshots | {route.snapshot})
         plan = self._view.find_plan(
-            route.lookup, targets.copy_records(), targets.version, excluded
+            route.lookup, self.table("targets"), excluded
         )
         if plan.snapshot is None or plan.snapshot < route.snapshot:
             return False
