--- /dev/null
+++ b/src/bramleyfork/transports/target_connections.py
@@ -0,0 +1,220 @@
+"""Kept HTTP connections to targets, bounded per target."""
+
+import collections.abc
+import http.client
+import select
+import threading
+import time
+
+
+class NoConnectionError(Exception):
+    """No connection became free in time."""
+
+
+class InvalidRequestError(Exception):
+    """A request cannot be written as HTTP; no byte of it was sent."""
+
+
+class Connection(http.client.HTTPConnection):
+    """A connection that writes each request with one call.
+
+    Attributes:
+      generation: Generation of its target's connections that it belongs to.
+    """
+
+    def __init__(self, host: str, port: int, *, source: str, generation: int):
+        super().__init__(host, port, source_address=(source, 0))
+        self.generation = generation
+        self._parts: list[bytes] | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether there is no connection, or no more."""
+        return self.sock is None
+
+    def open(self, timeout_s: float) -> None:
+        """Connects.
+
+        Raises:
+          OSError: The target cannot be reached in time.
+        """
+        self.timeout = timeout_s
+        self.connect()
+
+    def find_fault(self) -> str:
+        """Returns why the open connection cannot be used; "" if it can."""
+        poll = select.poll()
+        poll.register(self.sock, select.POLLIN)
+        return "closed or out of step" if poll.poll(0) else ""
+
+    def write_request(
+        self,
+        method: str,
+        path: str,
+        headers: collections.abc.Mapping[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> None:
+        """Writes a request; ``timeout_s`` is also that of the reply's reads.
+
+        Nothing is written when the request is invalid.
+
+        Raises:
+          InvalidRequestError: A header or the path is invalid.
+          OSError: The connection broke or the time is over.
+        """
+        self._parts = []
+        try:
+            self.request(method, path, body, dict(headers))
+            data = b"".join(self._parts)
+        except (ValueError, http.client.InvalidURL) as error:
+            raise InvalidRequestError(str(error)) from error
+        finally:
+            self._parts = None
+        self.sock.settimeout(timeout_s)
+        self.sock.sendall(data)
+
+    def send(self, data: bytes) -> None:
+        """Collects a part of the request; called by http.client."""
+        self._parts.append(data)
+
+    def read_reply(self, limit: int) -> tuple[http.client.HTTPResponse, bytes]:
+        """Returns the reply with its whole body.
+
+        Raises:
+          http.client.HTTPException: The reply is not HTTP, ends early or is
+            longer than ``limit`` bytes.
+          OSError: The connection broke or the time is over.
+        """
+        response = self.getresponse()
+        body = response.read(limit)
+        if response.read(1):
+            raise http.client.HTTPException("reply is too large")
+        if response.length:
+            raise http.client.IncompleteRead(body, response.length)
+        return response, body
+
+
+class TargetConnections:
+    """The connections to one target, most recently used first.
+
+    Connections in use count towards the limit, so that a smaller share is
+    never exceeded by new connections. The connection used last goes first, so
+    that those beyond the current need become stale at the target and close.
+
+    Args:
+      address: address:port of the target.
+      source: IP address to connect from.
+      limit: Connections that may be open at once.
+    """
+
+    __slots__ = (
+        "_host",
+        "_port",
+        "_source",
+        "_limit",
+        "_idle",
+        "_open",
+        "_generation",
+        "_condition",
+    )
+
+    def __init__(self, *, address: str, source: str, limit: int):
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._source = source
+        self._limit = limit
+        self._idle: list[Connection] = []
+        self._open = 0
+        self._generation = 0
+        self._condition = threading.Condition()
+
+    @property
+    def num_open(self) -> int:
+        """Number of connections in use or kept."""
+        return self._open
+
+    def change_limit(self, limit: int) -> None:
+        """Bounds the connections anew; closes kept ones above the limit."""
+        if limit == self._limit:
+            return
+        with self._condition:
+            self._limit = limit
+            excess = max(0, min(len(self._idle), self._open - limit))
+            closing, self._idle = self._idle[:excess], self._idle[excess:]
+            self._open -= excess
+            self._condition.notify_all()
+        _close_all(closing)
+
+    def take(self, timeout_s: float) -> Connection:
+        """Returns a connection, which may still have to be connected.
+
+        A kept connection that the target has closed, or on which it has sent
+        something unasked, is not used again.
+
+        Raises:
+          NoConnectionError: All are in use for ``timeout_s`` seconds.
+        """
+        until = time.monotonic() + timeout_s
+        while True:
+            connection = self._take_any(until)
+            if connection.is_closed or not connection.find_fault():
+                return connection
+            self.discard(connection)
+
+    def keep(self, connection: Connection) -> None:
+        """Takes back a connection whose last reply was read to its end."""
+        with self._condition:
+            if (
+                connection.generation == self._generation
+                and self._open <= self._limit
+                and not connection.is_closed
+            ):
+                self._idle.append(connection)
+                self._condition.notify()
+                return
+        self.discard(connection)
+
+    def discard(self, connection: Connection) -> None:
+        """Closes a connection."""
+        connection.close()
+        with self._condition:
+            self._open -= 1
+            self._condition.notify()
+
+    def close_all(self) -> None:
+        """Closes the kept connections now and those in use after their reply.
+
+        Later calls of ``take`` open new ones.
+        """
+        with self._condition:
+            self._generation += 1
+            closing, self._idle = self._idle, []
+            self._open -= len(closing)
+            self._condition.notify_all()
+        _close_all(closing)
+
+    def _take_any(self, until: float) -> Connection:
+        with self._condition:
+            while not self._idle and self._open >= self._limit:
+                remaining_s = until - time.monotonic()
+                if remaining_s <= 0.0:
+                    raise NoConnectionError(
+                        f"all {self._limit} connections are in use"
+                    )
+                self._condition.wait(remaining_s)
+            if self._idle:
+                return self._idle.pop()
+            self._open += 1
+            return Connection(
+                self._host,
+                self._port,
+                source=self._source,
+                generation=self._generation,
+            )
+
+
+def _close_all(connections: collections.abc.Iterable[Connection]) -> None:
+    for connection in connections:
+        connection.close()
