--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -15,6 +15,9 @@
 
 # A target or owner that failed is avoided for this time if there is a choice.
 _AVOID_S = 1.0
+# A target that lacks the snapshot of a query is asked for it again after this
+# time, as it may have got it.
+_ASK_AGAIN_S = 1.0
 # Ranks of hosts that hold a share of a target under two-level fan-out.
 _OWNER_RANKS = 2
 
@@ -59,6 +62,7 @@
         "_fresh",
         "_plans",
         "_plans_version",
+        "_asked_at",
     )
 
     def __init__(self, *, host: str, seed: int):
@@ -72,8 +76,10 @@
         self._avoided_owners: dict[str, float] = {}
         self._heard_owners: dict[str, float] = {}
         self._fresh: dict[str, tuple[float, tuple[requests.Holding, ...]]] = {}
-        self._plans: dict[str, snapshots.Plan] = {}
+        # Plan and its gaps by lookup.
+        self._plans: dict[str, tuple[snapshots.Plan, tuple]] = {}
         self._plans_version = -1
+        self._asked_at: dict[str, float] = {}
 
     def use_declaration(self, declaration: declarations.Declaration) -> None:
         """Recomputes owners and distances; keeps experience."""
@@ -95,6 +101,7 @@
         statuses: dict[str, fleet.TargetStatus],
         version: int,
         excluded: frozenset[requests.Snapshot],
+        now: float,
     ) -> snapshots.Plan:
         """Returns the plan of a lookup, from a cache while nothing changed.
 
@@ -103,19 +110,24 @@
           statuses: The section ``targets``.
           version: Version of that section.
           excluded: Snapshots given up on.
+          now: Monotonic seconds.
         """
         if version != self._plans_version:
             self._plans.clear()
             self._plans_version = version
-        cached = self._plans.get(lookup.name)
-        if cached is not None and not excluded:
-            return cached
-        plan = snapshots.plan_query(
-            self._collect_holdings(lookup, statuses), excluded
-        )
+        found = None if excluded else self._plans.get(lookup.name)
+        if found is None:
+            plan = snapshots.plan_query(
+                self._collect_holdings(lookup, statuses), excluded
+            )
+            found = plan, snapshots.find_gaps(plan, lookup.services)
         if not excluded:
-            self._plans[lookup.name] = plan
-        return plan
+            self._plans[lookup.name] = found
+        plan, gaps = found
+        if not gaps:
+            return plan
+        candidates = self._list_to_ask({s for s, _ in gaps}, statuses, now)
+        return snapshots.fill_gaps(plan, gaps, candidates)
 
     def choose_target(self, candidates: list[str], now: float) -> str | None:
         """Returns the replica that the declared policy chooses."""
@@ -148,10 +160,6 @@
                 choices.append((penalty, rank, owner))
         return min(choices)[2] if choices else None
 
-    def choose_segment(self, count: int) -> int:
-        """Returns the index of the segment that is sent first."""
-        return self._random.randrange(count)
-
     def note_send(self, target: str) -> None:
         """Counts an attempt."""
         self._stats[target].outstanding += 1
@@ -192,7 +200,13 @@
         if reply.report is None:
             return False
         known = self._fresh.get(reply.target)
-        if known is not None and known[1] == reply.report.holdings:
+        # A refused snapshot shows that what the list adds to the target's
+        # holdings is wrong, so it is news even if the target's word is not.
+        if (
+            known is not None
+            and known[1] == reply.report.holdings
+            and reply.code != "wrong_snapshot"
+        ):
             return False
         self._fresh[reply.target] = (now, reply.report.holdings)
         self._plans.clear()
@@ -231,6 +245,24 @@
             distance=self._distances[name],
         )
 
+    def _list_to_ask(
+        self,
+        services: set[str],
+        statuses: dict[str, fleet.TargetStatus],
+        now: float,
+    ) -> dict[str, tuple[str, ...]]:
+        """Returns usable targets that were not asked lately, by service."""
+        found: dict[str, list[str]] = {service: [] for service in services}
+        for name, status in statuses.items():
+            target = self.declaration.targets.get(name)
+            if target is None or target.service not in found:
+                continue
+            asked_at = self._asked_at.get(name, -math.inf)
+            if status.state == "usable" and now - asked_at >= _ASK_AGAIN_S:
+                self._asked_at[name] = now
+                found[target.service].append(name)
+        return {service: tuple(names) for service, names in found.items()}
+
     def _collect_holdings(
         self,
         lookup: declarations.Lookup,
--- a/src/bramleyfork/controllers/ownership.py
+++ b/src/bramleyfork/controllers/ownership.py
@@ -282,6 +282,7 @@
             fleet.TargetDeath(
                 target=owned.name,
                 fingerprints=tuple(sorted(fingerprints)),
+                alone=owned.exclusive,
                 died_at=now,
             )
         )
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -21,6 +21,7 @@
 from bramleyfork.decisions import hedging
 from bramleyfork.decisions import intake
 from bramleyfork.decisions import retries
+from bramleyfork.decisions import snapshots
 
 _DECISIONS = logging.getLogger(logs.DECISIONS)
 
@@ -137,7 +138,7 @@
             return
         self.writer("routes").put(query.query_id, route)
         self._timers.add(route.deadline, _FINISH, query.query_id, 0)
-        self._use_plan(route, now)
+        self._use_plan(route, self._find_plan(route, frozenset(), now), now)
 
     def _find_refusal(
         self, route: _route.Route, now: float
@@ -157,15 +158,25 @@
         self._timers.add(accepted.expires_at, _FORGET, "", accepted.number)
         return None
 
-    def _use_plan(self, route: _route.Route, now: float) -> None:
-        """Fixes snapshot and segments and sends the first attempts."""
+    def _find_plan(
+        self,
+        route: _route.Route,
+        excluded: frozenset[requests.Snapshot],
+        now: float,
+    ) -> snapshots.Plan:
         targets = self.table("targets")
-        plan = self._view.find_plan(
+        return self._view.find_plan(
             route.lookup,
             targets.copy_records(),
             targets.version,
-            frozenset(route.tried_snapshots),
+            excluded,
+            now,
         )
+
+    def _use_plan(
+        self, route: _route.Route, plan: snapshots.Plan, now: float
+    ) -> None:
+        """Fixes snapshot and segments and sends the first attempts."""
         route.use_plan(plan)
         if not route.segments:
             route.detail = "no target holds any of the wanted keys"
@@ -194,23 +205,28 @@
         A request that has not completed here before goes to one target first,
         so that one that crashes targets does not reach them all at once.
         """
-        known_good = self._trusted.has(
-            route.fingerprint
-        ) and not intake.has_entry(
-            route.fingerprint,
-            route.lookup.services,
-            self.table("quarantine").copy_records(),
-        )
+        suspect = self._is_suspect(route)
+        known_good = self._trusted.has(route.fingerprint) and not suspect
         if len(route.segments) == 1 or known_good:
             return route.segments
-        index = self._view.choose_segment(len(route.segments))
+        index = canaries.choose_segment(route.fingerprint, len(route.segments))
         canary = route.segments[index]
         route.waiting = [s for s in route.segments if s is not canary]
-        window = self._view.service_latency[canary.plan.service]
-        delay = canaries.find_release_delay(window, route.deadline - now)
+        if suspect:
+            # It waits for a target of its own, so lateness means nothing.
+            return [canary]
+        delay = canaries.find_release_delay(route.deadline - now)
         self._timers.add(now + delay, _RELEASE, route.query.query_id, 0)
         return [canary]
 
+    def _is_suspect(self, route: _route.Route) -> bool:
+        """Returns whether a target died with this request in flight."""
+        return route.has_suspect() or intake.has_entry(
+            route.fingerprint,
+            route.lookup.services,
+            self.table("quarantine").copy_records(),
+        )
+
     def _release(self, route: _route.Route, now: float) -> None:
         """Sends the segments that waited for the first target's answer."""
         waiting, route.waiting = route.waiting, []
@@ -266,7 +282,9 @@
         if kind == _FINISH:
             self._finish(route)
         elif kind == _RELEASE:
-            if not route.has_suspect():
+            # Another host may have sent the same request meanwhile and
+            # have lost a target to it.
+            if not self._is_suspect(route):
                 self._release(route, now)
         elif index < len(route.segments):
             self._serve_segment_timer(kind, route, route.segments[index], now)
@@ -362,7 +380,8 @@
             self._trusted.remove(route.fingerprint)
         if segment.list_open() or self._retry(route, segment, reply, now):
             return
-        if segment.wrong_snapshot and self._restart(route, now):
+        moved = segment.wrong_snapshot and segment.plan.known
+        if moved and self._restart(route, now):
             return
         route.give_up(segment)
 
@@ -401,11 +420,8 @@
         total = route.query.deadline - route.query.received_at
         if route.deadline - now < _RESTART_PART * total:
             return False
-        targets = self.table("targets")
         excluded = frozenset(route.tried_snapshots | {route.snapshot})
-        plan = self._view.find_plan(
-            route.lookup, targets.copy_records(), targets.version, excluded
-        )
+        plan = self._find_plan(route, excluded, now)
         if plan.snapshot is None or plan.snapshot < route.snapshot:
             return False
         if not retries.may_restart(
@@ -420,7 +436,7 @@
         for segment in route.segments:
             self._sender.cancel_open(segment)
         route.tried_snapshots.add(route.snapshot)
-        self._use_plan(route, now)
+        self._use_plan(route, plan, now)
         return True
 
     # End of a query.
@@ -432,8 +448,12 @@
             if route.has_suspect():
                 self._finish(route)
                 return
-            # The first target could not be read, but nothing crashed; the
-            # other segments can still be read.
+            # The first target could not be read, but did not crash; the other
+            # segments can still be read, those of a suspect one by one.
+            if self._is_suspect(route):
+                self._send_segment(route, route.waiting.pop(), now)
+                self._finish_if_settled(route, now)
+                return
             self._release(route, now)
 
     def _finish(self, route: _route.Route) -> None:
--- a/src/bramleyfork/core/fleet.py
+++ b/src/bramleyfork/core/fleet.py
@@ -310,12 +310,16 @@
     Attributes:
       target: Name of the target.
       fingerprints: Fingerprints in flight on it.
+      alone: Whether a suspect ran there, which is sent only alone. A single
+        fingerprint does not show that, as the connections of one crash are
+        reported one after the other.
       died_at: Monotonic seconds.
     """
 
     __slots__ = (
         "target",
         "fingerprints",
+        "alone",
         "died_at",
     )
 
@@ -324,10 +328,12 @@
         *,
         target: str,
         fingerprints: tuple[str, ...],
+        alone: bool,
         died_at: float,
     ):
         self.target = target
         self.fingerprints = fingerprints
+        self.alone = alone
         self.died_at = died_at
 
 
--- a/src/bramleyfork/core/replies.py
+++ b/src/bramleyfork/core/replies.py
@@ -6,7 +6,7 @@
 from bramleyfork.core import verdicts
 
 # Outcomes of an attempt. Only "ok" carries records. "died" means that the
-# connection broke after the request was sent and before the reply was read.
+# connection broke after the request was sent and before a reply began.
 REPLY_CODES = (
     "ok",
     "wrong_snapshot",  # The target does not serve that snapshot or segment.
@@ -23,7 +23,7 @@
     "target_out",
     "quarantined",
     "owner_lost",
-    "bad_reply",  # Wrong attempt id, segment or snapshot, or not decodable.
+    "bad_reply",  # Wrong attempt id, segment or snapshot; cut; not decodable.
     "rejected",  # The target found the request invalid.
 )
 
--- a/src/bramleyfork/decisions/canaries.py
+++ b/src/bramleyfork/decisions/canaries.py
@@ -1,13 +1,10 @@
 """Which requests go to one target first, and for how long."""
 
-from bramleyfork.decisions import latencies
-
 _TRUSTED_LIMIT = 100_000  # Fingerprints; about 12 MB at 120 bytes each.
-# The rest is released after this percentile of the service's latency, so that
-# a slow first target delays a query by little.
-_RELEASE_PERCENTILE = 95.0
-_UNKNOWN_DELAY_S = 0.05
-# Most of the remaining time that the first target may take.
+# The rest is released when the first target has taken this part of the
+# remaining time. A slow first target is hedged before that. With a release at
+# the 95th percentile of the latency, a request that waited in a cold target's
+# queue went to all services before it had crashed the first target.
 _RELEASE_PART = 0.25
 
 
@@ -36,9 +33,20 @@
         self._known.pop(fingerprint, None)
 
 
-def find_release_delay(
-    window: latencies.LatencyWindow, remaining_s: float
-) -> float:
+def choose_segment(fingerprint: str, count: int) -> int:
+    """Returns the index of the segment that is sent first.
+
+    The choice depends on the fingerprint alone, so that every host tries a
+    request that crashes targets at the same service. A random choice took
+    down one target of each service when callers sent it to all hosts at once.
+
+    Args:
+      fingerprint: Hash of the request in hexadecimal digits.
+      count: Number of segments.
+    """
+    return int(fingerprint, 16) % count
+
+
+def find_release_delay(remaining_s: float) -> float:
     """Returns seconds after which the other segments are sent anyway."""
-    usual = window.find_percentile(_RELEASE_PERCENTILE) or _UNKNOWN_DELAY_S
-    return min(usual, _RELEASE_PART * remaining_s)
+    return _RELEASE_PART * remaining_s
--- a/src/bramleyfork/decisions/quarantine.py
+++ b/src/bramleyfork/decisions/quarantine.py
@@ -36,11 +36,10 @@
     if entry is not None and entry.level == REFUSED:
         return entry
     before = () if entry is None else entry.targets
-    was_alone = death.fingerprints == (fingerprint,)
     is_second = any(target != death.target for target in before)
     return fleet.Quarantined(
         fingerprint=fingerprint,
-        level=REFUSED if was_alone and is_second else SUSPECT,
+        level=REFUSED if death.alone and is_second else SUSPECT,
         until=now + ENTRY_S,
         targets=_join_targets(before, (death.target,)),
     )
--- a/src/bramleyfork/decisions/snapshots.py
+++ b/src/bramleyfork/decisions/snapshots.py
@@ -20,9 +20,11 @@
       service: Name of the service.
       key_range: The range; disjoint from the service's other segments.
       candidates: Names of targets that hold the range at the snapshot.
+      known: Whether the candidates are known to hold it; others are asked as
+        they may have got it since they were last heard of.
     """
 
-    __slots__ = ("service", "key_range", "candidates")
+    __slots__ = ("service", "key_range", "candidates", "known")
 
     def __init__(
         self,
@@ -30,10 +32,12 @@
         service: str,
         key_range: ranges.KeyRange,
         candidates: tuple[str, ...],
+        known: bool = True,
     ):
         self.service = service
         self.key_range = key_range
         self.candidates = candidates
+        self.known = known
 
 
 class Plan(records.Record):
@@ -77,6 +81,50 @@
     return Plan(snapshot=snapshot, segments=tuple(segments))
 
 
+def find_gaps(
+    plan: Plan, services: collections.abc.Iterable[str]
+) -> tuple[tuple[str, ranges.KeyRange], ...]:
+    """Returns the ranges that no target is known to hold, with service."""
+    if plan.snapshot is None:
+        return ()
+    held: dict[str, list[ranges.KeyRange]] = {s: [] for s in services}
+    for segment in plan.segments:
+        held[segment.service].append(segment.key_range)
+    return tuple(
+        (service, gap)
+        for service, parts in held.items()
+        for gap in ranges.find_gaps(parts)
+    )
+
+
+def fill_gaps(
+    plan: Plan,
+    gaps: collections.abc.Iterable[tuple[str, ranges.KeyRange]],
+    candidates: collections.abc.Mapping[str, tuple[str, ...]],
+) -> Plan:
+    """Returns the plan with a segment for each gap that somebody is asked for.
+
+    A target that nobody asks for lack of a snapshot would be heard of again
+    only through the platform's list, which lags.
+
+    Args:
+      plan: The plan.
+      gaps: From find_gaps.
+      candidates: Targets to ask by service.
+    """
+    added = tuple(
+        SegmentPlan(
+            service=service,
+            key_range=gap,
+            candidates=candidates[service],
+            known=False,
+        )
+        for service, gap in gaps
+        if candidates.get(service)
+    )
+    return plan.replace(segments=plan.segments + added)
+
+
 def cut_segments(
     service: str,
     by_target: collections.abc.Mapping[str, tuple[requests.Holding, ...]],
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -29,6 +29,10 @@
 )
 
 
+class _TruncatedError(Exception):
+    """A reply began and its connection broke before its end."""
+
+
 @transports.register("target_transport")
 class TargetTransport(transports.Transport):
     """A fixed set of threads that each carry one attempt at a time."""
@@ -98,6 +102,11 @@
         except urllib3.exceptions.TimeoutError as error:
             code, verdict = "timeout", verdicts.Verdict.MAY_HAVE_RUN
             detail = str(error)
+        except _TruncatedError as error:
+            # The target had run the request when it began to reply, so this
+            # is no sign that the request crashes targets.
+            code, verdict = "bad_reply", verdicts.Verdict.MAY_HAVE_RUN
+            detail = str(error)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             code, verdict = "died", verdicts.Verdict.MAY_HAVE_RUN
             detail = str(error)
@@ -129,10 +138,15 @@
                 read=remaining_s,
             ),
         )
-        content = response.read(_BODY_LIMIT)
-        if response.read(1):
+        try:
+            content = response.read(_BODY_LIMIT)
+            too_large = bool(response.read(1))
+        except urllib3.exceptions.ProtocolError as error:
+            response.close()
+            raise _TruncatedError(f"reply was cut short: {error}") from error
+        if too_large:
             response.close()
-            raise urllib3.exceptions.HTTPError("reply is too large")
+            raise _TruncatedError("reply is too large")
         response.release_conn()
         return response.status, response.headers, content
 
--- a/tests/controllers/test_controllers_quarantine.py
+++ b/tests/controllers/test_controllers_quarantine.py
@@ -27,6 +27,7 @@
             fleet.TargetDeath(
                 target=target,
                 fingerprints=fingerprints,
+                alone=len(fingerprints) == 1,
                 died_at=self.clock.read_monotonic(),
             )
         )
--- a/tests/decisions/test_decisions_quarantine.py
+++ b/tests/decisions/test_decisions_quarantine.py
@@ -9,9 +9,9 @@
 _NOW = 100.0
 
 
-def create_death(target="t1", fingerprints=("f",)):
+def create_death(target="t1", fingerprints=("f",), alone=True):
     return fleet.TargetDeath(
-        target=target, fingerprints=fingerprints, died_at=_NOW
+        target=target, fingerprints=fingerprints, alone=alone, died_at=_NOW
     )
 
 
@@ -37,7 +37,8 @@
         (None, create_death(), "suspect"),
         (create_entry(), create_death("t2"), "refused"),
         (create_entry(), create_death("t1"), "suspect"),
-        (create_entry(), create_death("t2", ("f", "g")), "suspect"),
+        (create_entry(), create_death("t2", ("f", "g"), False), "suspect"),
+        (create_entry(), create_death("t2", alone=False), "suspect"),
         (create_entry(targets=("t1", "t2")), create_death("t1"), "refused"),
         (create_entry("refused"), create_death("t2"), "refused"),
     ],
--- a/tests/decisions/test_snapshots.py
+++ b/tests/decisions/test_snapshots.py
@@ -76,3 +76,19 @@
     for segment in segments:
         for candidate in segment.candidates:
             assert by_target[candidate][0].key_range.contains(segment.key_range)
+
+
+def test_gaps_are_asked_of_targets_that_may_hold_them_by_now():
+    # Guards against a service that nobody asks again after it lost a snapshot.
+    plan = snapshots.plan_query(
+        {"s": {"a": hold((NEW, 0, 65536))}, "t": {"b": hold((OLD, 0, 100))}},
+        frozenset([OLD]),
+    )
+    gaps = snapshots.find_gaps(plan, ["s", "t"])
+    assert gaps == (("t", ranges.FULL_RANGE),)
+    filled = snapshots.fill_gaps(plan, gaps, {"t": ("b",)})
+    assert [(p.candidates, p.known) for p in filled.segments] == [
+        (("a",), True),
+        (("b",), False),
+    ]
+    assert snapshots.fill_gaps(plan, gaps, {"t": ()}) == plan
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -5,6 +5,7 @@
 checked there and not in the product's own words.
 """
 
+import collections
 import os
 import signal
 import threading
@@ -38,6 +39,24 @@
         self.answers.append(answer)
         return answer
 
+    def list_replicas(self, service):
+        """Returns the names of a service's targets."""
+        targets = self.fleet.declaration.targets.values()
+        return [t.name for t in targets if t.service == service]
+
+    def control(self, targets, call, **body):
+        """Makes a control call at each of some targets."""
+        for name in targets:
+            self.fleet.find_stand_in(name).control(call, target=name, **body)
+
+    def count_writes(self):
+        """Returns how often each write ran, by its parameters."""
+        counts = collections.Counter()
+        for journal in self.fleet.read_journals().values():
+            for write in journal["writes"]:
+                counts[write["parameters"]] += write["count"]
+        return counts
+
     def find_faults(self, answer, lookup, key=None):
         declared = self.fleet.declaration.lookups[lookup]
         return checks.find_faults(answer, declared, key)
@@ -111,7 +130,7 @@
 
 def choose_net():
     """Returns the second number of this process's loopback addresses."""
-    return 100 + os.getpid() % 150
+    return int(os.environ.get("BRAMLEYFORK_NET", 100 + os.getpid() % 150))
 
 
 @pytest.fixture
