--- a/src/bramleyfork/controllers/ownership.py
+++ b/src/bramleyfork/controllers/ownership.py
@@ -262,6 +262,7 @@
         alone = owned.exclusive
         owned.exclusive = False
         self._update_target(owned, result, now)
+        warmup.note_result(owned.warmth, share=owned.share, now=now)
         if alone and result.code == "ok":
             self.writer("suspicions").append(
                 fleet.SuspectCleared(
--- a/src/bramleyfork/decisions/warmup.py
+++ b/src/bramleyfork/decisions/warmup.py
@@ -121,6 +121,19 @@
     return now
 
 
+def note_result(warmth: Warmth, *, share: shares.Share, now: float) -> None:
+    """Counts the pace of a cold target anew from the end of a request.
+
+    A request may reach its target at any time until its result is there. Two
+    requests sent at the right distance could arrive closer together when the
+    first one is held up on its way.
+    """
+    if warmth.state == COLD and share.cold_rate > 0:
+        warmth.next_send_at = max(
+            warmth.next_send_at, now + 1.0 / share.cold_rate
+        )
+
+
 def note_send(warmth: Warmth, *, share: shares.Share, now: float) -> None:
     """Books the pace of a cold target for one request."""
     if warmth.state == COLD and share.cold_rate > 0:
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -1,15 +1,18 @@
 """HTTP to targets through urllib3."""
 
+import collections.abc
 import logging
 import threading
 
 import urllib3
+import urllib3.connection
 import urllib3.exceptions
 
 from bramleyfork.codecs import headers
 from bramleyfork.core import blackboard
 from bramleyfork.core import clocks
 from bramleyfork.core import replies
+from bramleyfork.core import requests
 from bramleyfork.core import transports
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import lease as lease_decisions
@@ -29,6 +32,14 @@
 )
 
 
+# What the current thread checks between connecting and sending.
+_BEFORE_SEND = threading.local()
+
+
+class _NotBegunError(Exception):
+    """The send was not begun; the argument is the result's code."""
+
+
 class _TruncatedError(Exception):
     """A reply began and its connection broke before its end."""
 
@@ -82,20 +93,14 @@
 
     def _carry(self, attempt: replies.Attempt) -> replies.AttemptResult:
         """Sends one attempt and returns what became of it."""
-        request = attempt.request
-        pool = self._find_pool(attempt)
         sent_at = self.clock.read_monotonic()
-        # The process may have been stopped since the decision to send, so
-        # deadline and lease are checked immediately before the send.
-        if request.deadline <= sent_at:
-            return _fail(attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0)
-        if not lease_decisions.is_held(self._lease.get("current"), sent_at):
-            return _fail(attempt, "no_lease", verdicts.Verdict.NOT_RUN, 0.0)
-        remaining_s = request.deadline - sent_at
         try:
+            self._check_start(attempt.request)
             status, reply_headers, body = self._exchange(
-                pool, attempt, remaining_s
+                attempt, max(0.001, attempt.request.deadline - sent_at)
             )
+        except _NotBegunError as error:
+            return _fail(attempt, str(error), verdicts.Verdict.NOT_RUN, 0.0)
         except _NOT_SENT as error:
             code, verdict = "connect_failed", verdicts.Verdict.NOT_RUN
             detail = str(error)
@@ -115,12 +120,29 @@
         elapsed_s = self.clock.read_monotonic() - sent_at
         return _fail(attempt, code, verdict, elapsed_s, detail)
 
+    def _check_start(self, request: requests.SubRequest) -> None:
+        """Raises _NotBegunError if the request must not be sent any more."""
+        now = self.clock.read_monotonic()
+        if request.deadline <= now:
+            raise _NotBegunError("expired")
+        if not lease_decisions.is_held(self._lease.get("current"), now):
+            raise _NotBegunError("no_lease")
+
     def _exchange(
-        self,
-        pool: urllib3.HTTPConnectionPool,
-        attempt: replies.Attempt,
-        remaining_s: float,
+        self, attempt: replies.Attempt, remaining_s: float
     ) -> tuple[int, headers.Headers, bytes]:
+        # The process may be stopped while it waits for a connection, so
+        # deadline and lease are checked again immediately before the send.
+        _BEFORE_SEND.check = lambda: self._check_start(attempt.request)
+        try:
+            return self._send(attempt, remaining_s)
+        finally:
+            _BEFORE_SEND.check = None
+
+    def _send(
+        self, attempt: replies.Attempt, remaining_s: float
+    ) -> tuple[int, headers.Headers, bytes]:
+        pool = self._find_pool(attempt)
         path, request_headers, body = headers.encode_request(
             attempt.request, max(1, int(remaining_s * 1000))
         )
@@ -226,9 +248,26 @@
             pool.close()
 
 
+class _CheckedConnection(urllib3.connection.HTTPConnection):
+    """A connection that checks once more before it sends a request."""
+
+    def request(self, *args, **options) -> None:
+        """Connects, checks and sends."""
+        if self.sock is None:
+            self.connect()
+        check: collections.abc.Callable[[], None] | None = getattr(
+            _BEFORE_SEND, "check", None
+        )
+        if check is not None:
+            check()
+        super().request(*args, **options)
+
+
 class _BoundedPool(urllib3.HTTPConnectionPool):
     """A pool that remembers how many connections it may open."""
 
+    ConnectionCls = _CheckedConnection
+
     def __init__(self, *args, maxsize: int, **options):
         super().__init__(*args, maxsize=maxsize, **options)
         self.num_allowed = maxsize
--- a/tests/decisions/test_warmup.py
+++ b/tests/decisions/test_warmup.py
@@ -69,6 +69,15 @@
     assert sent == 10
 
 
+def test_cold_pace_counts_from_the_end_of_a_request():
+    # Guards against two arrivals at once after a late first one.
+    warmth = warmup.Warmth()
+    warmup.note_send(warmth, share=SHARE, now=0.0)
+    warmup.note_result(warmth, share=SHARE, now=0.09)
+    due = warmup.find_send_time(warmth, share=SHARE, in_flight=0, now=0.1)
+    assert due == pytest.approx(0.19)
+
+
 def test_cold_target_gets_no_more_than_its_places():
     warmth = warmup.Warmth()
     assert (
