--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,15 +3,13 @@
 import json
 import os
 import pathlib
-import signal
-import subprocess
-import sys
 import tempfile
 import time
 import typing
 
 import urllib3
 
+from bench import daemons
 from bramleyfork.configuration import declaration as declaration_module
 from bramleyfork.configuration import manifests
 from bramleyfork.core import declarations
@@ -87,6 +85,30 @@
             raise FleetError("; ".join(p.describe() for p in checked.error))
         return checked.ok
 
+    def add_host(self, name: str, *, like: str, ip: str) -> None:
+        """Declares one more host.
+
+        Args:
+          name: Its name.
+          like: A declared host in the same data centre.
+          ip: Its address, without the first two numbers.
+        """
+        settings = self.hosts[like]
+        own_ip = f"127.{self.net}.{ip}"
+        rows = dict(
+            row.split(" = ", 1) for row in settings.splitlines() if row.strip()
+        )
+        rows["host"] = json.dumps(name)
+        for key in ("peer", "caller", "administration"):
+            port = rows[f"{key}_address"].rpartition(":")[2]
+            rows[f"{key}_address"] = f'"{own_ip}:{port}'
+        self.hosts[name] = "".join(f"{k} = {v}\n" for k, v in rows.items())
+        self.parts["fleet"] += "\n[[hosts]]\n" + "".join(
+            f"{key} = {value}\n"
+            for key, value in {"name": json.dumps(name), **rows}.items()
+            if key in ("name", "data_centre", "peer_address", "caller_address")
+        )
+
     def find_platform_address(self) -> str:
         """Returns the address that the host settings name."""
         text = next(iter(self.hosts.values()))
@@ -99,70 +121,6 @@
         return path.read_text().replace('"127.0.', f'"127.{self.net}.')
 
 
-class Daemon:
-    """One host's process.
-
-    Args:
-      name: Name of the host.
-      settings: Text of its settings file.
-      folder: Where its settings and log are written.
-      python_path: PYTHONPATH of the process; None keeps the caller's.
-    """
-
-    __slots__ = ("name", "settings_path", "log_path", "process", "log")
-
-    def __init__(
-        self,
-        *,
-        name: str,
-        settings: str,
-        folder: pathlib.Path,
-        python_path: str | None = None,
-    ):
-        self.name = name
-        self.settings_path = folder / f"{name}.toml"
-        self.settings_path.write_text(settings)
-        self.log_path = folder / f"{name}.log"
-        self.log = self.log_path.open("ab")
-        environment = dict(os.environ)
-        if python_path is not None:
-            environment["PYTHONPATH"] = python_path
-        self.process = subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "bramleyfork.daemon",
-                "--settings",
-                str(self.settings_path),
-            ],
-            stdin=subprocess.DEVNULL,
-            stdout=self.log,
-            stderr=self.log,
-            env=environment,
-        )
-
-    def send_signal(self, number: int) -> None:
-        """Sends a signal such as SIGSTOP to the process."""
-        self.process.send_signal(number)
-
-    def stop(self, timeout_s: float = 5.0) -> int:
-        """Ends the process at once; returns its exit status."""
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        status = self.process.wait(timeout_s)
-        self.log.close()
-        return status
-
-    def read_log(self) -> list[Document]:
-        """Returns the JSON lines written so far."""
-        entries = []
-        for line in self.log_path.read_text(errors="replace").splitlines():
-            if line.startswith("{"):
-                entries.append(json.loads(line))
-        return entries
-
-
 class Fleet:
     """Platform, targets and daemons of one deployment.
 
@@ -185,7 +143,7 @@
         self.python_path = python_path
         self.declaration = deployment.read_declaration()
         self.target_fields = target_fields
-        self.daemons: dict[str, Daemon] = {}
+        self.daemons: dict[str, daemons.Daemon] = {}
         self.targets: dict[str, launch.StandIn] = {}
         self.platform: launch.StandIn | None = None
         self._folder = tempfile.TemporaryDirectory(prefix="bramleyfork-")
@@ -257,17 +215,38 @@
                 )
             )
 
-    def start_daemon(self, name: str) -> Daemon:
+    def start_daemon(self, name: str) -> daemons.Daemon:
         """Starts one host's process."""
-        daemon = Daemon(
+        daemon = daemons.Daemon(
             name=name,
-            settings=self.deployment.hosts[name],
+            settings=self.deployment.hosts[name]
+            + f"cut_file = {json.dumps(str(self._find_cut_file(name)))}\n",
             folder=self.folder,
             python_path=self.python_path,
         )
         self.daemons[name] = daemon
         return daemon
 
+    def find_ip(self, host: str) -> str:
+        """Returns the address that a host's calls leave from."""
+        return self.declaration.hosts[host].peer_address.rpartition(":")[0]
+
+    def cut(self, host: str, *others: str, direction: str = "both") -> None:
+        """Cuts a host's traffic with other hosts; with none, ends its cuts.
+
+        Args:
+          host: The host that discards messages.
+          *others: Hosts that it is cut from.
+          direction: "out", "in" or "both", seen from ``host``.
+        """
+        path = self._find_cut_file(host)
+        fresh = path.with_suffix(".new")
+        fresh.write_text("".join(f"{direction} {name}\n" for name in others))
+        fresh.replace(path)
+
+    def _find_cut_file(self, host: str) -> pathlib.Path:
+        return self.folder / f"{host}.cut"
+
     def wait_ready(
         self, name: str, timeout_s: float = READY_TIMEOUT_S
     ) -> float:
@@ -316,14 +295,24 @@
         )
         return {**json.loads(reply.data), "status": reply.status}
 
-    def place(self, host: str, data_centre: str = "", tickets: int = 0):
+    def place(
+        self,
+        host: str,
+        data_centre: str = "",
+        tickets: int = 0,
+        caller: str = "",
+    ) -> Document:
         """Returns a host's placement answer with its status."""
         address = self.declaration.hosts[host].caller_address
         fields = {"tickets": str(tickets)} if tickets else {}
         if data_centre:
             fields["data_centre"] = data_centre
         reply = self._http.request(
-            "GET", f"http://{address}/v1/placement", fields=fields, timeout=5.0
+            "GET",
+            f"http://{address}/v1/placement",
+            fields=fields,
+            headers={"Caller-Name": caller} if caller else None,
+            timeout=5.0,
         )
         return {**json.loads(reply.data), "status": reply.status}
 
