Measure the answer path's policies side by side

Cause: nothing showed whether hedges, retries and the choice of replicas help, and what they cost the targets. Before: no measurement.

--- /dev/null
+++ b/bench/cases.py
@@ -0,0 +1,254 @@
+"""The cases that policies are measured in, and the scaled deployments.
+
+A case is a function registered by a decorator. It gets the fleet and returns
+the events of the measured time; its load is declared beside it.
+"""
+
+import collections.abc
+import pathlib
+import re
+
+from bench import demo
+from bench import fleet as fleet_module
+from bench import load
+from bramleyfork.core import records
+from bramleyfork.core import registries
+
+# Services, slots and the like stay as declared, but all times are this many
+# times as long, so that the daemons' own CPU time (2 to 4 ms per sub-request)
+# stays small beside them.
+TIME_SCALE = 4.0
+SERVICE_MS = 10.0 * TIME_SCALE
+CONNECT_MS = 6.0 * TIME_SCALE
+# One-way latency between data centres, from section 1.4 of design.md.
+CENTRE_LATENCY_MS = {"torno-norte": 1.0, "waagner": 1.5}
+
+# Services of the small lookups. All targets of a group at 150 % of their
+# slots need more CPU time than this machine has.
+NARROW_SERVICES = 3
+URGENT = "narrow-urgent"
+ORDINARY = "narrow-ordinary"
+
+Events = list[load.Event]
+
+
+class Scale(records.Record):
+    """What a case's load is derived from.
+
+    Attributes:
+      wide: Name of the deployment's widest lookup.
+      group: First template of the services; the narrow lookups read it.
+      capacity: Queries a second that the slots behind a narrow lookup do.
+    """
+
+    __slots__ = ("wide", "group", "capacity")
+
+    def __init__(self, *, wide: str, group: str, capacity: float):
+        self.wide = wide
+        self.group = group
+        self.capacity = capacity
+
+
+class Case(records.Record):
+    """A load and what happens during it.
+
+    Attributes:
+      name: Unique name.
+      seconds: Length of the measured time.
+      warm_s: Length of the load before it, which is not measured.
+      wide: Queries a second of the wide lookup.
+      urgent: Urgent narrow queries, as a part of the capacity.
+      ordinary: Ordinary narrow queries, as a part of the capacity.
+      prepare: Called before the warm-up with the fleet.
+      plan: Returns the events of the measured time.
+    """
+
+    __slots__ = (
+        "name",
+        "seconds",
+        "warm_s",
+        "wide",
+        "urgent",
+        "ordinary",
+        "prepare",
+        "plan",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        plan: collections.abc.Callable[[fleet_module.Fleet], Events],
+        seconds: float = 5.0,
+        warm_s: float = 2.0,
+        wide: float = 0.0,
+        urgent: float = 0.0,
+        ordinary: float = 0.0,
+        prepare: collections.abc.Callable[[fleet_module.Fleet], object]
+        | None = None,
+    ):
+        self.name = name
+        self.plan = plan
+        self.seconds = seconds
+        self.warm_s = warm_s
+        self.wide = wide
+        self.urgent = urgent
+        self.ordinary = ordinary
+        self.prepare = prepare
+
+    def list_rates(self, scale: Scale) -> dict[str, float]:
+        """Returns queries a second by lookup."""
+        rates = {
+            scale.wide: self.wide,
+            URGENT: self.urgent * scale.capacity,
+            ORDINARY: self.ordinary * scale.capacity,
+        }
+        return {lookup: rate for lookup, rate in rates.items() if rate > 0}
+
+
+CASES: registries.Registry[Case] = registries.Registry(kind="case")
+
+
+def register(name: str, **fields: object):
+    """Returns a decorator that registers the function that plans a case."""
+
+    def store(plan):
+        CASES.register(name)(Case(name=name, plan=plan, **fields))
+        return plan
+
+    return store
+
+
+def build_deployment(
+    name: str, net: int, part: float
+) -> fleet_module.Deployment:
+    """Returns an example with a part of the services of each large group.
+
+    Args:
+      name: Folder under ``examples``.
+      net: Second number of its addresses.
+      part: Part of the services kept, above 0 and at most 1.
+    """
+    deployment = fleet_module.Deployment(name=name, net=net)
+    deployment.parts["services"] = re.sub(
+        r"count = (\d+)",
+        lambda found: f"count = {max(1, round(int(found[1]) * part))}",
+        deployment.parts["services"],
+    )
+    group = _find_group(deployment)
+    names = [f'"{group}-{n:02d}"' for n in range(1, NARROW_SERVICES + 1)]
+    for lookup, urgent in ((URGENT, "true"), (ORDINARY, "false")):
+        deployment.parts["lookups"] += (
+            f'\n[[lookups]]\nname = "{lookup}"\n'
+            f"services = [{', '.join(names)}]\nurgent = {urgent}\n"
+        )
+    return deployment
+
+
+def build_fleet(
+    deployment: fleet_module.Deployment,
+    name: str,
+    product: pathlib.Path | None = None,
+) -> fleet_module.Fleet:
+    """Returns the fleet of a scaled deployment, not started."""
+    return fleet_module.Fleet(
+        deployment=deployment,
+        product=product,
+        centre_latency_ms=CENTRE_LATENCY_MS[name] * TIME_SCALE,
+        service_ms=SERVICE_MS,
+        connect_ms=CONNECT_MS,
+        fall_over=True,
+        record_stride=16384,
+    )
+
+
+def measure_scale(deployment: fleet_module.Deployment) -> Scale:
+    """Returns the wide lookup and the capacity of the narrow ones."""
+    declaration = deployment.read_declaration()
+    wide = max(declaration.lookups.values(), key=lambda x: len(x.services))
+    group = _find_group(deployment)
+    service = declaration.services[f"{group}-01"]
+    replicas = [
+        t for t in declaration.targets.values() if t.service == service.name
+    ]
+    capacity = len(replicas) * service.slots * 1000.0 / SERVICE_MS
+    return Scale(wide=wide.name, group=group, capacity=capacity)
+
+
+def _find_group(deployment: fleet_module.Deployment) -> str:
+    return re.search(r'name = "([^"]+)"', deployment.parts["services"])[1]
+
+
+def _find_victim(fleet: fleet_module.Fleet) -> str:
+    """Returns a target that both the wide and the narrow lookups reach."""
+    return f"{_find_group(fleet.deployment)}-01-1"
+
+
+def _delay(fleet: fleet_module.Fleet, delay_ms: float) -> None:
+    target = _find_victim(fleet)
+    stand_in = fleet.find_stand_in(target)
+    stand_in.control("faults", target=target, delay_ms=delay_ms)
+
+
+def _crash(fleet: fleet_module.Fleet, restart_after_s: float) -> None:
+    target = _find_victim(fleet)
+    stand_in = fleet.find_stand_in(target)
+    stand_in.control("crash", target=target, restart_after_s=restart_after_s)
+
+
+@register("calm", wide=20.0)
+def plan_calm(fleet: fleet_module.Fleet) -> Events:
+    """Nothing happens."""
+    del fleet
+    return []
+
+
+@register("calm narrow", urgent=0.2, ordinary=0.2)
+def plan_calm_narrow(fleet: fleet_module.Fleet) -> Events:
+    """Nothing happens; the overload case is compared with this one."""
+    del fleet
+    return []
+
+
+@register(
+    "straggler",
+    wide=20.0,
+    prepare=lambda fleet: _delay(fleet, 9 * SERVICE_MS),
+)
+def plan_straggler(fleet: fleet_module.Fleet) -> Events:
+    """One target is ten times slower, from the warm-up on."""
+    return [(5.0, lambda: _delay(fleet, 0.0))]
+
+
+@register("replica lost", wide=20.0, seconds=4.0, warm_s=5.0)
+def plan_loss(fleet: fleet_module.Fleet) -> Events:
+    """One replica crashes and does not return in the measured time.
+
+    The stand-in cannot be started again by a call, so it returns by itself
+    after the measured time, for the next pair.
+    """
+    return [(0.5, lambda: _crash(fleet, 4.5))]
+
+
+# The other replica alone can do half of the capacity.
+@register("cold restart", urgent=0.2, ordinary=0.25, warm_s=4.0)
+def plan_cold_restart(fleet: fleet_module.Fleet) -> Events:
+    """One replica restarts cold under 90 % of what the other can do."""
+    return [(0.5, lambda: _crash(fleet, 0.5))]
+
+
+@register("overload", urgent=0.5, ordinary=1.0, warm_s=4.0)
+def plan_overload(fleet: fleet_module.Fleet) -> Events:
+    """The load is 150 % of what the targets' slots can do."""
+    del fleet
+    return []
+
+
+@register("data centre out", wide=20.0, seconds=8.0, warm_s=3.0)
+def plan_centre_out(fleet: fleet_module.Fleet) -> Events:
+    """Operators take one data centre out and bring it back."""
+    centre = next(iter(fleet.declaration.data_centres))
+    return [
+        (1.0, lambda: demo.set_out(fleet, centre, out=True)),
+        (4.5, lambda: demo.set_out(fleet, centre, out=False)),
+    ]
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -106,16 +106,27 @@
       name: Name of the host.
       settings: Text of its settings file.
       folder: Where its settings and log are written.
+      product: Source folder of the product to run; the harness's own if None.
     """
 
     __slots__ = ("name", "settings_path", "log_path", "process", "log")
 
-    def __init__(self, *, name: str, settings: str, folder: pathlib.Path):
+    def __init__(
+        self,
+        *,
+        name: str,
+        settings: str,
+        folder: pathlib.Path,
+        product: pathlib.Path | None = None,
+    ):
         self.name = name
         self.settings_path = folder / f"{name}.toml"
         self.settings_path.write_text(settings)
         self.log_path = folder / f"{name}.log"
         self.log = self.log_path.open("ab")
+        environment = dict(os.environ)
+        if product is not None:
+            environment["PYTHONPATH"] = str(product)
         self.process = subprocess.Popen(
             [
                 sys.executable,
@@ -127,6 +138,7 @@
             stdin=subprocess.DEVNULL,
             stdout=self.log,
             stderr=self.log,
+            env=environment,
         )
 
     def send_signal(self, number: int) -> None:
@@ -158,11 +170,23 @@
 
     Args:
       deployment: What to run.
+      centre_latency_ms: One-way latency between a target and the hosts of
+        other data centres.
+      product: Source folder of the product to run; the harness's own if None.
       target_fields: Fields of the target stand-in's settings for all targets.
     """
 
-    def __init__(self, *, deployment: Deployment, **target_fields: typing.Any):
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        centre_latency_ms: float = 0.0,
+        product: pathlib.Path | None = None,
+        **target_fields: typing.Any,
+    ):
         self.deployment = deployment
+        self.centre_latency_ms = centre_latency_ms
+        self.product = product
         self.declaration = deployment.read_declaration()
         self.target_fields = target_fields
         self.daemons: dict[str, Daemon] = {}
@@ -243,6 +267,7 @@
             name=name,
             settings=self.deployment.hosts[name],
             folder=self.folder,
+            product=self.product,
         )
         self.daemons[name] = daemon
         return daemon
@@ -356,7 +381,18 @@
             "cold_rate": service.cold_rate,
             "cold_period_s": service.cold_period_s,
             "holdings": HOLDINGS,
+            "latency": self._build_latency(target),
         }
         return launch.build_target(
             target.name, target.service, **{**fields, **self.target_fields}
         )
+
+    def _build_latency(self, target: declarations.Target) -> dict[str, float]:
+        """Returns the latency from each host of another data centre."""
+        if self.centre_latency_ms <= 0:
+            return {}
+        return {
+            host.peer_address.rpartition(":")[0]: self.centre_latency_ms
+            for host in self.declaration.hosts.values()
+            if host.data_centre != target.data_centre
+        }
