Compare three ways of pacing clients to a cold target

Cause: the pace of cold targets books the next slot, and nothing showed that this is better than refusals or a polled token bucket. Change: bench.limits runs 20 clients against 10 requests a second on a simulated clock with a fixed seed. Before: no comparison.

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,200 @@
+"""Compares three ways of pacing competing clients to a cold target.
+
+Run ``python -m bench.limits``. Clients share one target that bears a fixed
+rate. The clock is simulated and the seed fixed, so a run repeats exactly.
+"""
+
+import heapq
+import json
+import random
+import sys
+import typing
+
+from bench import demo
+from bramleyfork.core import records
+from bramleyfork.core import registries
+
+SEED = 1
+CLIENTS = 20
+RATE = 10.0  # Requests a second that the target bears.
+SECONDS = 120.0
+# Mean demand as a part of the rate; all clients begin with one request each.
+DEMAND = 0.9
+DEADLINE_S = 4.0
+_POLL_S = 0.1  # Mean pause between two polls of the token bucket.
+_BURST = 2.0  # Tokens that the bucket holds; the product's cold limit.
+
+
+class Reply(records.Record):
+    """What a limiter says to a client.
+
+    Attributes:
+      let_at: When the request may be sent, seconds; None for a denial.
+      retry_at: When to ask again after a denial; None for never.
+    """
+
+    __slots__ = ("let_at", "retry_at")
+
+    def __init__(
+        self, *, let_at: float | None = None, retry_at: float | None = None
+    ):
+        self.let_at = let_at
+        self.retry_at = retry_at
+
+
+class Limiter:
+    """Paces requests to one target; subclasses decide how.
+
+    Args:
+      source: Random numbers.
+    """
+
+    __slots__ = ("source",)
+
+    def __init__(self, *, source: random.Random):
+        self.source = source
+
+    def check(self, now: float, deadline: float) -> Reply:
+        """Lets a request through, books it or denies it."""
+        raise NotImplementedError
+
+
+LIMITERS: registries.Registry[type[Limiter]] = registries.Registry(
+    kind="limiter"
+)
+
+
+@LIMITERS.register("refuse with retry-after")
+class Refusing(Limiter):
+    """Tells every denied client when the next place is free."""
+
+    __slots__ = ("_free_at",)
+
+    def __init__(self, *, source: random.Random):
+        super().__init__(source=source)
+        self._free_at = 0.0
+
+    def check(self, now: float, deadline: float) -> Reply:
+        """Lets one request through per interval."""
+        del deadline
+        if now < self._free_at:
+            return Reply(retry_at=self._free_at)
+        self._free_at = now + 1.0 / RATE
+        return Reply(let_at=now)
+
+
+@LIMITERS.register("token bucket, polled")
+class Bucket(Limiter):
+    """Clients poll for a token after pauses with jitter."""
+
+    __slots__ = ("_tokens", "_filled_at")
+
+    def __init__(self, *, source: random.Random):
+        super().__init__(source=source)
+        self._tokens = _BURST
+        self._filled_at = 0.0
+
+    def check(self, now: float, deadline: float) -> Reply:
+        """Takes a token if there is one."""
+        del deadline
+        filled = self._tokens + (now - self._filled_at) * RATE
+        self._tokens = min(_BURST, filled)
+        self._filled_at = now
+        if self._tokens < 1.0:
+            return Reply(retry_at=now + _POLL_S * self.source.uniform(0.5, 1.5))
+        self._tokens -= 1.0
+        return Reply(let_at=now)
+
+
+@LIMITERS.register("reservation")
+class Reservation(Limiter):
+    """Books the next slot (generic cell rate algorithm)."""
+
+    __slots__ = ("_arrival",)
+
+    def __init__(self, *, source: random.Random):
+        super().__init__(source=source)
+        self._arrival = 0.0  # Theoretical arrival time of the next request.
+
+    def check(self, now: float, deadline: float) -> Reply:
+        """Books a slot before the deadline or denies for good."""
+        slot = max(now, self._arrival)
+        if slot > deadline:
+            return Reply()
+        self._arrival = slot + 1.0 / RATE
+        return Reply(let_at=slot)
+
+
+def list_arrivals(seed: int) -> list[float]:
+    """Returns when requests appear: one per client at once, then at random."""
+    source = random.Random(seed)
+    arrivals = [0.0] * CLIENTS
+    now = source.expovariate(DEMAND * RATE)
+    while now < SECONDS:
+        arrivals.append(now)
+        now += source.expovariate(DEMAND * RATE)
+    return arrivals
+
+
+def run_limiter(name: str, seed: int = SEED) -> dict[str, typing.Any]:
+    """Returns the figures of one limiter; equal seeds give equal figures."""
+    limiter = LIMITERS.find(name)(source=random.Random(seed))
+    # Clients that ask at the same time are served in a random order.
+    order = random.Random(seed + 1)
+    events = [(at, order.random(), at) for at in list_arrivals(seed)]
+    heapq.heapify(events)
+    let: list[tuple[float, float]] = []
+    denied = lost = 0
+    while events:
+        now, _, arrived = heapq.heappop(events)
+        deadline = arrived + DEADLINE_S
+        reply = limiter.check(now, deadline)
+        if reply.let_at is not None:
+            let.append((reply.let_at, arrived))
+            continue
+        denied += 1
+        if reply.retry_at is None or reply.retry_at > deadline:
+            lost += 1
+            continue
+        heapq.heappush(events, (reply.retry_at, order.random(), arrived))
+    return _describe(name, let, denied, lost)
+
+
+def _describe(
+    name: str, let: list[tuple[float, float]], denied: int, lost: int
+) -> dict[str, typing.Any]:
+    times = sorted(at for at, _ in let)
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    waits = [at - arrived for at, arrived in let]
+    interval = 1.0 / RATE
+    return {
+        "limiter": name,
+        "let_through": len(let),
+        "denied_per_let": round(denied / max(1, len(let)), 3),
+        "gave_up": lost,
+        "least_gap_ms": round(1000 * min(gaps, default=0.0), 1),
+        # A rounding error is no violation of the spacing.
+        "short_gaps": sum(gap < interval - 1e-9 for gap in gaps),
+        "wait_p50_ms": demo.find_percentile(waits, 50),
+        "wait_p99_ms": demo.find_percentile(waits, 99),
+    }
+
+
+def build_table(rows: list[dict[str, typing.Any]]) -> str:
+    """Returns a Markdown table with a row per limiter."""
+    heads = list(rows[0])
+    lines = [f"| {' | '.join(heads)} |", "|" + " --- |" * len(heads)]
+    lines += [f"| {' | '.join(str(r[h]) for h in heads)} |" for r in rows]
+    return "\n".join(lines)
+
+
+def main() -> int:
+    """Prints a table and, in the last line, JSON."""
+    rows = [run_limiter(name) for name in LIMITERS.list_names()]
+    print(build_table(rows))  # noqa: T201
+    print(json.dumps({"seed": SEED, "rows": rows}))  # noqa: T201
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
