Scale the measurements' times by a flag

Before: a fixed factor of 4. Conclusion: figures of one report have one factor, which the report names.

--- a/bench/cases.py
+++ b/bench/cases.py
@@ -8,6 +8,8 @@
 import pathlib
 import re
 
+from absl import flags
+
 from bench import demo
 from bench import fleet as fleet_module
 from bench import load
@@ -17,9 +19,12 @@
 # Services, slots and the like stay as declared, but all times are this many
 # times as long, so that the daemons' own CPU time (2 to 4 ms per sub-request)
 # stays small beside them.
-TIME_SCALE = 4.0
-SERVICE_MS = 10.0 * TIME_SCALE
-CONNECT_MS = 6.0 * TIME_SCALE
+TIME_SCALE = flags.DEFINE_float(
+    "time_scale", 4.0, "Factor of all times; more for a busy machine."
+)
+_SERVICE_MS = 10.0
+_CONNECT_MS = 6.0
+_DEADLINE_MS = 250.0
 # One-way latency between data centres, from section 1.4 of design.md.
 CENTRE_LATENCY_MS = {"torno-norte": 1.0, "waagner": 1.5}
 
@@ -56,7 +61,7 @@
       name: Unique name.
       seconds: Length of the measured time.
       warm_s: Length of the load before it, which is not measured.
-      wide: Queries a second of the wide lookup.
+      wide: Wide queries, as a part of the capacity.
       urgent: Urgent narrow queries, as a part of the capacity.
       ordinary: Ordinary narrow queries, as a part of the capacity.
       prepare: Called before the warm-up with the fleet.
@@ -99,7 +104,7 @@
     def list_rates(self, scale: Scale) -> dict[str, float]:
         """Returns queries a second by lookup."""
         rates = {
-            scale.wide: self.wide,
+            scale.wide: self.wide * scale.capacity,
             URGENT: self.urgent * scale.capacity,
             ORDINARY: self.ordinary * scale.capacity,
         }
@@ -119,6 +124,16 @@
     return store
 
 
+def find_service_ms() -> float:
+    """Returns the targets' service time in milliseconds."""
+    return _SERVICE_MS * TIME_SCALE.value
+
+
+def find_deadline_ms() -> int:
+    """Returns the deadline of every query in milliseconds."""
+    return int(_DEADLINE_MS * TIME_SCALE.value)
+
+
 def build_deployment(
     name: str, net: int, part: float
 ) -> fleet_module.Deployment:
@@ -154,9 +169,9 @@
     return fleet_module.Fleet(
         deployment=deployment,
         product=product,
-        centre_latency_ms=CENTRE_LATENCY_MS[name] * TIME_SCALE,
-        service_ms=SERVICE_MS,
-        connect_ms=CONNECT_MS,
+        centre_latency_ms=CENTRE_LATENCY_MS[name] * TIME_SCALE.value,
+        service_ms=find_service_ms(),
+        connect_ms=_CONNECT_MS * TIME_SCALE.value,
         fall_over=True,
         record_stride=16384,
     )
@@ -171,7 +186,7 @@
     replicas = [
         t for t in declaration.targets.values() if t.service == service.name
     ]
-    capacity = len(replicas) * service.slots * 1000.0 / SERVICE_MS
+    capacity = len(replicas) * service.slots * 1000.0 / find_service_ms()
     return Scale(wide=wide.name, group=group, capacity=capacity)
 
 
@@ -196,7 +211,7 @@
     stand_in.control("crash", target=target, restart_after_s=restart_after_s)
 
 
-@register("calm", wide=20.0)
+@register("calm", wide=0.2)
 def plan_calm(fleet: fleet_module.Fleet) -> Events:
     """Nothing happens."""
     del fleet
@@ -212,15 +227,15 @@
 
 @register(
     "straggler",
-    wide=20.0,
-    prepare=lambda fleet: _delay(fleet, 9 * SERVICE_MS),
+    wide=0.2,
+    prepare=lambda fleet: _delay(fleet, 9 * find_service_ms()),
 )
 def plan_straggler(fleet: fleet_module.Fleet) -> Events:
     """One target is ten times slower, from the warm-up on."""
     return [(5.0, lambda: _delay(fleet, 0.0))]
 
 
-@register("replica lost", wide=20.0, seconds=4.0, warm_s=5.0)
+@register("replica lost", wide=0.2, seconds=4.0, warm_s=5.0)
 def plan_loss(fleet: fleet_module.Fleet) -> Events:
     """One replica crashes and does not return in the measured time.
 
@@ -244,7 +259,7 @@
     return []
 
 
-@register("data centre out", wide=20.0, seconds=8.0, warm_s=3.0)
+@register("data centre out", wide=0.2, seconds=8.0, warm_s=3.0)
 def plan_centre_out(fleet: fleet_module.Fleet) -> Events:
     """Operators take one data centre out and bring it back."""
     centre = next(iter(fleet.declaration.data_centres))
--- a/bench/load.py
+++ b/bench/load.py
@@ -13,7 +13,6 @@
 
 # Bounds a run whatever its rates are.
 MOST_ARRIVALS = 5000
-_DEADLINE_MS = 1000
 _PLACEMENT_S = 1.0
 # Parameters in use; few, so that the warm-up has completed each of them once
 # on every host and none is held back as a new request.
@@ -91,12 +90,13 @@
 
     Args:
       fleet: The fleet to ask.
+      deadline_ms: Deadline of every query.
     """
 
-    __slots__ = ("_fleet", "_addresses", "_centres", "_hosts")
+    __slots__ = ("_deadline_ms", "_addresses", "_centres", "_hosts")
 
-    def __init__(self, *, fleet: fleet_module.Fleet):
-        self._fleet = fleet
+    def __init__(self, *, fleet: fleet_module.Fleet, deadline_ms: int):
+        self._deadline_ms = deadline_ms
         hosts = fleet.declaration.hosts.values()
         self._addresses = [host.caller_address for host in hosts]
         self._centres = sorted(fleet.declaration.data_centres)
@@ -173,7 +173,7 @@
         address = hosts[number // len(self._centres) % len(hosts)]
         body = {
             "lookup": arrival.lookup,
-            "deadline_ms": _DEADLINE_MS,
+            "deadline_ms": self._deadline_ms,
             "parameters": f"day={number // 6 % _DAYS}",
         }
         answer: dict[str, typing.Any] = {"code": "lost", "coverage": 0.0}
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 import time
 import typing
@@ -199,9 +200,13 @@
         self._warm(fleet, warm_rates, case.warm_s, seed + 500)
         schedule = load.build_schedule(rates, case.seconds, seed)
         meter = meters.Meter(fleet=fleet)
-        samples = load.Callers(fleet=fleet).run(schedule, case.plan(fleet))
+        samples = self._callers(fleet).run(schedule, case.plan(fleet))
         return meter.finish(samples)
 
+    def _callers(self, fleet: fleet_module.Fleet) -> load.Callers:
+        deadline_ms = cases.find_deadline_ms()
+        return load.Callers(fleet=fleet, deadline_ms=deadline_ms)
+
     def _warm(
         self,
         fleet: fleet_module.Fleet,
@@ -210,12 +215,14 @@
         seed: int = 0,
     ) -> None:
         schedule = load.build_schedule(rates, seconds, seed)
-        load.Callers(fleet=fleet).run(schedule)
+        self._callers(fleet).run(schedule)
 
 
 def main(arguments: list[str]) -> None:
     """Runs the comparisons and writes the report."""
     del arguments
+    # The fleets' processes end with this one when it is terminated.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     started = time.time()
     load_before = os.getloadavg()
     rows = []
@@ -229,7 +236,7 @@
         "part": _PART.value,
         "pairs": _PAIRS.value,
         "seed": _SEED.value,
-        "time_scale": cases.TIME_SCALE,
+        "time_scale": cases.TIME_SCALE.value,
         "rows": rows,
     }
     out = pathlib.Path(_OUT.value)
