Avoid replicas that lose to hedges and try them beside others

Cause: the latency of a cancelled attempt was never recorded, so a straggler that lost to every hedge kept its old average, was chosen again, and used up the hedge budget; without a hedge the query waited for the straggler. Change: a replica whose attempt is twice as old as the service's average is avoided, first for 1 s, then for twice as long after each slow trial, up to 30 s. A trial is a hedge sent beside the chosen replica, so no query waits for it; a replica that answers in time is used again.

--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -1,5 +1,6 @@
 """What a router knows of targets and their owners."""
 
+import collections.abc
 import math
 import random
 
@@ -12,6 +13,7 @@
 from bramleyfork.decisions import retries
 from bramleyfork.decisions import shares
 from bramleyfork.decisions import snapshots
+from bramleyfork.decisions import stragglers
 
 # A target or owner that failed is avoided for this time if there is a choice.
 _AVOID_S = 1.0
@@ -27,15 +29,23 @@
       queue_length: As last reported by its owner.
       latency: Latencies from send to reply, seconds.
       avoid_until: Monotonic seconds.
+      slowness: Whether it is avoided because it is slow.
     """
 
-    __slots__ = ("outstanding", "queue_length", "latency", "avoid_until")
+    __slots__ = (
+        "outstanding",
+        "queue_length",
+        "latency",
+        "avoid_until",
+        "slowness",
+    )
 
     def __init__(self):
         self.outstanding = 0
         self.queue_length = 0
         self.latency = latencies.LatencyWindow()
         self.avoid_until = 0.0
+        self.slowness = stragglers.Slowness()
 
 
 class FleetView:
@@ -171,6 +181,33 @@
         if self._heard_owners.get(owner, 0.0) < sent_at:
             self._avoided_owners[owner] = now + _AVOID_S
 
+    def note_lost(self, target: str, elapsed_s: float, now: float) -> None:
+        """Learns that another replica answered first.
+
+        The latency of a cancelled attempt is never known, so without this a
+        straggler that loses to every hedge would keep its old average.
+
+        Args:
+          target: Target of the cancelled attempt.
+          elapsed_s: Age of that attempt, seconds.
+          now: Monotonic seconds.
+        """
+        stats = self._stats.get(target)
+        if stats is None:
+            return
+        avoided = stragglers.is_avoided(stats.slowness)
+        if avoided or self._is_slow(target, elapsed_s):
+            stragglers.note_slow(stats.slowness, now)
+
+    def find_trial(
+        self, candidates: collections.abc.Iterable[str], now: float
+    ) -> str | None:
+        """Returns an avoided target that may be tried again, or None."""
+        for name in candidates:
+            if stragglers.wants_trial(self._stats[name].slowness, now):
+                return name
+        return None
+
     def note_reply(
         self, reply: replies.SubReply, elapsed_s: float, now: float
     ) -> bool:
@@ -184,6 +221,10 @@
             stats.latency.record(elapsed_s)
             stats.avoid_until = 0.0
             service = self.declaration.targets[reply.target].service
+            if self._is_slow(reply.target, elapsed_s):
+                stragglers.note_slow(stats.slowness, now)
+            else:
+                stragglers.note_fast(stats.slowness)
             self.service_latency[service].record(elapsed_s)
         elif retries.blames_target(reply):
             stats.avoid_until = now + _AVOID_S
@@ -198,6 +239,13 @@
         self._plans.clear()
         return True
 
+    def _is_slow(self, target: str, elapsed_s: float) -> bool:
+        declared = self.declaration.targets.get(target)
+        if declared is None:
+            return False
+        usual_s = self.service_latency[declared.service].mean_s
+        return stragglers.is_slow(elapsed_s, usual_s)
+
     def _list_owners(self, target: declarations.Target) -> tuple[str, ...]:
         if self.declaration.strategy == "direct":
             return (self.host,)
@@ -227,7 +275,8 @@
             outstanding=stats.outstanding,
             queue_length=stats.queue_length,
             latency_s=stats.latency.mean_s,
-            failing=stats.avoid_until > now,
+            failing=stats.avoid_until > now
+            or stragglers.is_avoided(stats.slowness),
             distance=self._distances[name],
         )
 
--- a/src/bramleyfork/controllers/_sender.py
+++ b/src/bramleyfork/controllers/_sender.py
@@ -64,6 +64,15 @@
             candidates.remove(target)
         return None
 
+    def choose_owner(
+        self, segment: _route.Segment, target: str, now: float
+    ) -> tuple[str, str] | None:
+        """Returns a target with the owner to send through, or None."""
+        owner = self._view.find_owner(
+            target, self._members.copy_records(), segment.refused_owners, now
+        )
+        return None if owner is None else (target, owner)
+
     def send(
         self,
         route: _route.Route,
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -237,8 +237,31 @@
             self._hedges.earn()
             self._retries.earn()
             self._plan_hedge(route, segment, now)
+            self._send_trial(route, segment, now)
         return choice
 
+    def _send_trial(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> None:
+        """Asks an avoided target beside the chosen one, from the hedge budget.
+
+        The query does not wait for it, and the target is used again once it
+        answers first.
+        """
+        trusted = self._trusted.has(route.fingerprint)
+        if not route.lookup.idempotent or not trusted:
+            return
+        others = [t for t in segment.plan.candidates if t not in segment.tried]
+        target = self._view.find_trial(others, now)
+        if target is None:
+            return
+        choice = self._sender.choose_owner(segment, target, now)
+        if choice is None or not self._hedges.spend():
+            return
+        self._sender.send(route, segment, choice, now)
+        self.counters["hedges"] += 1
+        _log_attempt("segment hedged", route, segment, choice, "trial")
+
     def _plan_hedge(
         self, route: _route.Route, segment: _route.Segment, now: float
     ) -> None:
@@ -342,6 +365,9 @@
     ) -> None:
         segment.part = reply
         route.unsettled -= 1
+        for attempt in segment.list_open():
+            elapsed_s = now - attempt.sent_at
+            self._view.note_lost(attempt.target, elapsed_s, now)
         self._sender.cancel_open(segment)
         if route.waiting:
             self._release(route, now)
--- a/tests/controllers/test_routing.py
+++ b/tests/controllers/test_routing.py
@@ -322,3 +322,40 @@
     assert bench.ask(**change) == []
     answer = bench.take_answer()
     assert (answer.code, answer.verdict) == (code, verdicts.Verdict.NOT_RUN)
+
+
+def ask_at(bench, now, query_id):
+    return bench.ask(now=now, query_id=query_id, deadline=now + 1.0)
+
+
+def create_slow_target():
+    """Returns a bench in which a hedge has just beaten one target."""
+    bench = Bench()
+    for n in range(30):
+        (first,) = ask_at(bench, NOW + n, f"q{n}")
+        bench.reply(first, now=NOW + n + 0.01)
+    (slow,) = ask_at(bench, NOW + 40, "slow")
+    bench.routing.step(NOW + 40.1)
+    (hedge,) = bench.take_sent()
+    bench.reply(hedge, now=NOW + 40.11)
+    return bench, slow.target
+
+
+def test_target_that_loses_to_a_hedge_is_avoided():
+    # Its latency is never known, so its average would stay that of before.
+    bench, slow = create_slow_target()
+    for n in range(5):
+        now = NOW + 40.2 + n / 10
+        (sent,) = ask_at(bench, now, f"after{n}")
+        assert sent.target != slow
+        bench.reply(sent, now=now + 0.01)
+
+
+def test_avoided_target_is_tried_beside_another_one():
+    # Without trials a recovered target would stay unused.
+    bench, slow = create_slow_target()
+    first, trial = ask_at(bench, NOW + 42, "later")
+    assert first.target != slow
+    assert trial.target == slow
+    bench.reply(trial, now=NOW + 42.01)
+    assert len(ask_at(bench, NOW + 42.1, "last")) == 1
