Refuse waiting requests that cannot finish; forget old latencies

Cause: a request was compared with the fastest replies only when it entered the queue, so under too much load requests took slots for runs that the deadline then cut off. And a target that had been slow for a whole window of samples was refused all requests with shorter deadlines; as refusals bring no samples, it was never asked again.

--- a/src/bramleyfork/controllers/ownership.py
+++ b/src/bramleyfork/controllers/ownership.py
@@ -150,7 +150,7 @@
             share=owned.share,
             status=self.table("targets").get(record.target),
             quarantined=self.table("quarantine").get(record.fingerprint),
-            latency=owned.latency,
+            fastest_s=_find_fastest(owned, now),
             now=now,
         )
         if code is not None:
@@ -179,7 +179,10 @@
     def _dispatch(self, name: str, now: float) -> float | None:
         """Sends what may be sent; returns when to look again."""
         owned = self._owned[name]
-        for request in owned.queue.take_expired(now):
+        # A request that cannot finish any more would waste a slot of the
+        # target; queues grow up to the deadline when there is too much load.
+        late = owned.queue.take_expired(now + _find_fastest(owned, now))
+        for request in late:
             self._refuse(request, "expired", now)
         status = self.table("targets").get(name)
         if status is not None and status.state != "usable":
@@ -361,6 +364,11 @@
         )
 
 
+def _find_fastest(owned: _owned_target.OwnedTarget, now: float) -> float:
+    silent = warmup.is_silent(owned.warmth, now)
+    return admission.find_fastest(owned.latency, silent=silent)
+
+
 def _build_reply(
     request: requests.SubRequest,
     result: replies.AttemptResult,
--- a/src/bramleyfork/decisions/admission.py
+++ b/src/bramleyfork/decisions/admission.py
@@ -16,7 +16,7 @@
     share: shares.Share,
     status: fleet.TargetStatus | None,
     quarantined: fleet.Quarantined | None,
-    latency: latencies.LatencyWindow,
+    fastest_s: float,
     now: float,
 ) -> str | None:
     """Returns the reply code of a refusal, or None to accept.
@@ -26,7 +26,7 @@
       share: This host's share of its target.
       status: What is known of the target, or None.
       quarantined: The entry of the request's fingerprint, or None.
-      latency: Recent latencies of the target.
+      fastest_s: Hardly any reply of the target comes sooner, seconds.
       now: Monotonic seconds.
     """
     if share.in_flight <= 0:
@@ -37,12 +37,24 @@
         return "leaving"
     if quarantined is not None and quarantined.level == "refused":
         return "quarantined"
-    fastest = latency.find_percentile(FAST_PERCENTILE) or 0.0
-    if request.deadline <= now + fastest:
+    if request.deadline <= now + fastest_s:
         return "expired"
     return None
 
 
+def find_fastest(latency: latencies.LatencyWindow, *, silent: bool) -> float:
+    """Returns the seconds in which hardly any reply comes; 0 if unknown.
+
+    Args:
+      latency: Recent latencies of the target.
+      silent: Whether the last reply is old. A target that was slow once would
+        otherwise be refused all requests and never show that it is fast.
+    """
+    if silent:
+        return 0.0
+    return latency.find_percentile(FAST_PERCENTILE) or 0.0
+
+
 def must_run_alone(
     request: requests.SubRequest, quarantined: fleet.Quarantined | None
 ) -> bool:
--- a/src/bramleyfork/decisions/warmup.py
+++ b/src/bramleyfork/decisions/warmup.py
@@ -113,14 +113,17 @@
         return warmth.next_send_at
     if in_flight >= share.in_flight:
         return None
-    silent = (
-        warmth.last_reply_at is None or now - warmth.last_reply_at >= IDLE_S
-    )
-    if silent and in_flight >= 1:
+    if is_silent(warmth, now) and in_flight >= 1:
         return None
     return now
 
 
+def is_silent(warmth: Warmth, now: float) -> bool:
+    """Returns whether what is known of a target is old."""
+    last = warmth.last_reply_at
+    return last is None or now - last >= IDLE_S
+
+
 def note_send(warmth: Warmth, *, share: shares.Share, now: float) -> None:
     """Books the pace of a cold target for one request."""
     if warmth.state == COLD and share.cold_rate > 0:
--- a/tests/controllers/test_ownership.py
+++ b/tests/controllers/test_ownership.py
@@ -202,3 +202,29 @@
     refused = [r for r in bench.replies.take() if r.code == "queue_full"]
     assert refused
     assert all(r.retry_after_ms > 0 for r in refused)
+
+
+def test_waiting_request_that_cannot_finish_is_refused_before_the_send():
+    # With too much load it would take a slot and still come too late.
+    bench = Bench(slots=1, queue=0)
+    bench.warm_up()
+    for n in range(64):
+        bench.ask(f"s{n}", now=READY + 4)
+        bench.finish(f"s{n}", READY + 4, elapsed_s=0.1)
+    bench.replies.take()
+    bench.ask("a1", now=READY + 5, deadline=READY + 6)
+    assert bench.ask("a2", now=READY + 5, deadline=READY + 5.2) == []
+    assert bench.finish("a1", READY + 5.15, elapsed_s=0.1) == []
+    codes = {r.attempt_id: r.code for r in bench.replies.take()}
+    assert codes == {"a1": "ok", "a2": "expired"}
+
+
+def test_target_that_was_slow_is_asked_again_after_a_silence():
+    # Refusals bring no new latency, so they would never end.
+    bench = Bench()
+    bench.warm_up()
+    for n in range(64):
+        bench.ask(f"s{n}", now=READY + 4)
+        bench.finish(f"s{n}", READY + 4, elapsed_s=0.8)
+    assert bench.ask("a1", now=READY + 4.1, deadline=READY + 4.6) == []
+    assert bench.ask("a2", now=READY + 9, deadline=READY + 9.5) == ["a2"]
