Revert "Hedge only where nothing is known to wait"

Conclusion: reports of queues that no reply renews still count for ever; that needs a measurement of its own.

--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -17,8 +17,6 @@
 
 # A target or owner that failed is avoided for this time if there is a choice.
 _AVOID_S = 1.0
-# A reported queue is worked off or has expired after this time.
-_QUEUE_FRESH_S = 1.0
 # Ranks of hosts that hold a share of a target under two-level fan-out.
 _OWNER_RANKS = 2
 
@@ -29,7 +27,6 @@
     Attributes:
       outstanding: Unanswered attempts.
       queue_length: As last reported by its owner.
-      queue_seen_at: When that was, monotonic seconds.
       latency: Latencies from send to reply, seconds.
       avoid_until: Monotonic seconds.
       slowness: Whether it is avoided because it is slow.
@@ -38,7 +35,6 @@
     __slots__ = (
         "outstanding",
         "queue_length",
-        "queue_seen_at",
         "latency",
         "avoid_until",
         "slowness",
@@ -47,7 +43,6 @@
     def __init__(self):
         self.outstanding = 0
         self.queue_length = 0
-        self.queue_seen_at = 0.0
         self.latency = latencies.LatencyWindow()
         self.avoid_until = 0.0
         self.slowness = stragglers.Slowness()
@@ -204,12 +199,6 @@
         if avoided or self._is_slow(target, elapsed_s):
             stragglers.note_slow(stats.slowness, now)
 
-    def has_idle(
-        self, candidates: collections.abc.Iterable[str], now: float
-    ) -> bool:
-        """Returns whether nothing is known to wait for one of the targets."""
-        return any(self._read_queue(t, now) == 0 for t in candidates)
-
     def find_trial(
         self, candidates: collections.abc.Iterable[str], now: float
     ) -> str | None:
@@ -228,7 +217,6 @@
             return False
         self._heard_owners[reply.owner] = now
         stats.queue_length = reply.queue_length
-        stats.queue_seen_at = now
         if reply.code == "ok":
             stats.latency.record(elapsed_s)
             stats.avoid_until = 0.0
@@ -251,16 +239,6 @@
         self._plans.clear()
         return True
 
-    def _read_queue(self, target: str, now: float) -> int:
-        """Returns the reported queue; an old report counts as empty.
-
-        Only a reply brings a newer one, so a target that is avoided for its
-        queue would keep it for ever.
-        """
-        stats = self._stats[target]
-        fresh = now - stats.queue_seen_at < _QUEUE_FRESH_S
-        return stats.queue_length if fresh else 0
-
     def _is_slow(self, target: str, elapsed_s: float) -> bool:
         declared = self.declaration.targets.get(target)
         if declared is None:
@@ -295,7 +273,7 @@
         return replicas.Candidate(
             target=name,
             outstanding=stats.outstanding,
-            queue_length=self._read_queue(name, now),
+            queue_length=stats.queue_length,
             latency_s=stats.latency.mean_s,
             failing=stats.avoid_until > now
             or stragglers.is_avoided(stats.slowness),
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -317,8 +317,7 @@
             return
         first = segment.attempts[0]
         self._view.judge_silence(first.owner, first.sent_at, now)
-        others = [t for t in segment.plan.candidates if t not in segment.tried]
-        if not self._view.has_idle(others, now) or not self._hedges.spend():
+        if not self._hedges.spend():
             return
         choice = self._send_segment(route, segment, now)
         if choice is None:
