--- a/src/bramleyfork/controllers/ownership.py
+++ b/src/bramleyfork/controllers/ownership.py
@@ -216,9 +216,6 @@
         entry = self.table("quarantine").get(request.fingerprint)
         if admission.must_run_alone(request, entry) and owned.in_flight:
             return None
-        limit = admission.find_ordinary_limit(owned.share, owned.service.slots)
-        if not request.urgent and len(owned.in_flight) >= limit:
-            return None
         return warmup.find_send_time(
             owned.warmth,
             share=owned.share,
--- a/src/bramleyfork/decisions/admission.py
+++ b/src/bramleyfork/decisions/admission.py
@@ -76,19 +76,3 @@
     """
     drain_s = (queue_length + 1) * (latency_s or 0.01) / max(1, slots)
     return max(1, int(1000 * drain_s * (0.5 + spread)))
-
-
-def find_ordinary_limit(share: shares.Share, slots: int) -> int:
-    """Returns how many requests may be in flight after an ordinary one.
-
-    The slots are kept busy with one request in reserve. The rest of the share
-    is left for urgent requests, which then reach the target at once and not
-    behind ordinary ones that wait there.
-
-    Args:
-      share: This host's share of the target.
-      slots: Requests that the target runs at once.
-    """
-    if share.in_flight <= slots:
-        return share.in_flight
-    return min(slots + 1, share.in_flight - 1)
--- a/tests/controllers/test_ownership.py
+++ b/tests/controllers/test_ownership.py
@@ -228,12 +228,3 @@
         bench.finish(f"s{n}", READY + 4, elapsed_s=0.8)
     assert bench.ask("a1", now=READY + 4.1, deadline=READY + 4.6) == []
     assert bench.ask("a2", now=READY + 9, deadline=READY + 9.5) == ["a2"]
-
-
-def test_ordinary_requests_leave_room_in_the_share_for_urgent_ones():
-    # Urgent requests would wait behind ordinary ones sent long before them.
-    bench = Bench(slots=2, queue=4)
-    bench.warm_up()
-    names = [f"o{n}" for n in range(6)]
-    assert bench.ask(*names, now=READY + 3, urgent=False) == names[:3]
-    assert bench.ask("u1", now=READY + 3, urgent=True) == ["u1"]
