--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -275,8 +275,9 @@
             outstanding=stats.outstanding,
             queue_length=stats.queue_length,
             latency_s=stats.latency.mean_s,
-            failing=stats.avoid_until > now
-            or stragglers.is_avoided(stats.slowness),
+            failing=max(
+                float(stats.avoid_until > now), stats.slowness.pause_s
+            ),
             distance=self._distances[name],
         )
 
