Revert "Prefer the replica that is avoided for a shorter time"

Change: the commit is undone. Conclusion: two replicas that are avoided at the same time are still compared by estimated latency alone.

--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -275,9 +275,8 @@
             outstanding=stats.outstanding,
             queue_length=stats.queue_length,
             latency_s=stats.latency.mean_s,
-            failing=max(
-                float(stats.avoid_until > now), stats.slowness.pause_s
-            ),
+            failing=stats.avoid_until > now
+            or stragglers.is_avoided(stats.slowness),
             distance=self._distances[name],
         )
 
--- a/src/bramleyfork/decisions/replicas.py
+++ b/src/bramleyfork/decisions/replicas.py
@@ -19,9 +19,7 @@
       outstanding: This router's unanswered attempts at it.
       queue_length: Sub-requests its owner last reported as held for it.
       latency_s: Average latency seen by this router, or None.
-      failing: 0 unless its last attempts failed or were slow; larger for one
-        that is avoided for longer, so that a short noise at the other replica
-        does not bring a lasting straggler back.
+      failing: Whether its last attempts failed.
       distance: 0 in the same data centre, 1 in the region, 2 elsewhere.
     """
 
@@ -41,7 +39,7 @@
         outstanding: int,
         queue_length: int,
         latency_s: float | None,
-        failing: float,
+        failing: bool,
         distance: int,
     ):
         self.target = target
