--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -128,6 +128,8 @@
 
     Args:
       deployment: What to run.
+      centre_latency_ms: One-way latency between a target and the hosts of
+        other data centres.
       python_path: PYTHONPATH of the daemons; None keeps the caller's.
       target_fields: Fields of the target stand-in's settings for all targets.
     """
@@ -137,9 +139,11 @@
         *,
         deployment: Deployment,
         python_path: str | None = None,
+        centre_latency_ms: float = 0.0,
         **target_fields: typing.Any,
     ):
         self.deployment = deployment
+        self.centre_latency_ms = centre_latency_ms
         self.python_path = python_path
         self.declaration = deployment.read_declaration()
         self.target_fields = target_fields
@@ -370,7 +374,18 @@
             "cold_rate": service.cold_rate,
             "cold_period_s": service.cold_period_s,
             "holdings": HOLDINGS,
+            "latency": self._build_latency(target),
         }
         return launch.build_target(
             target.name, target.service, **{**fields, **self.target_fields}
         )
+
+    def _build_latency(self, target: declarations.Target) -> dict[str, float]:
+        """Returns the latency from each host of another data centre."""
+        if self.centre_latency_ms <= 0:
+            return {}
+        return {
+            host.peer_address.rpartition(":")[0]: self.centre_latency_ms
+            for host in self.declaration.hosts.values()
+            if host.data_centre != target.data_centre
+        }
