--- a/bench/growth_inputs.py
+++ b/bench/growth_inputs.py
@@ -78,11 +78,6 @@
       revision: Revision of the manifest.
       note: Text of a comment in the smallest part, to change it.
     """
-    head = '[deployment]\nname = "grown"\n' + "".join(
-        f'[[data_centres]]\nname = "{name_centre(n)}"\n'
-        f'region = "region-{n % REGIONS}"\n'
-        for n in range(DATA_CENTRES)
-    )
     services = (targets + REPLICAS - 1) // REPLICAS
     tables = {
         "hosts": [
@@ -105,7 +100,7 @@
         ],
     }
     parts = {
-        "fleet": head.encode(),
+        "fleet": _build_head().encode(),
         "lookups": _LOOKUPS.format(note=note).encode(),
     }
     for table, rows in tables.items():
@@ -230,6 +225,14 @@
         )
 
 
+def _build_head() -> str:
+    return '[deployment]\nname = "grown"\n' + "".join(
+        f'[[data_centres]]\nname = "{name_centre(n)}"\n'
+        f'region = "region-{n % REGIONS}"\n'
+        for n in range(DATA_CENTRES)
+    )
+
+
 def _split(table: str, rows: list[str]) -> dict[str, bytes]:
     parts: dict[str, bytes] = {}
     held, size = [], 0
--- a/src/bramleyfork/decisions/ranking.py
+++ b/src/bramleyfork/decisions/ranking.py
@@ -82,7 +82,7 @@
         return frozenset(changed)
 
     def may_own(self, host: declarations.Host, data_centre: str) -> bool:
-        """Returns whether a host can be an owner of targets somewhere."""
+        """Returns whether a host can own targets of a data centre."""
         if host.data_centre == data_centre:
             return True
         return len(self._by_centre.get(data_centre, ())) < _OWNERS
