Bound the targets that a crashing request reaches through other services

Change: a query whose first segment could not be read waits 50 ms for notices of other hosts. A suspect's other segments run alone, one by one, and are not sent when two targets of a service have died with it. A late first segment releases the others after half of the remaining time. Conclusion: the bound holds while hosts hear of a death within half of the remaining time.

--- a/src/bramleyfork/controllers/_route.py
+++ b/src/bramleyfork/controllers/_route.py
@@ -46,6 +46,8 @@
       refused_owners: (target, owner) pairs that refused.
       tried: Targets that are not asked again.
       suspect: Whether an attempt ended with its target's connection broken.
+      alone: Whether its attempts run alone, as a target has died with the
+        same request in flight.
       retry_pending: Whether a delayed retry is scheduled.
     """
 
@@ -58,6 +60,7 @@
         "refused_owners",
         "tried",
         "suspect",
+        "alone",
         "retry_pending",
     )
 
@@ -70,6 +73,7 @@
         self.refused_owners: set[tuple[str, str]] = set()
         self.tried: set[str] = set()
         self.suspect = False
+        self.alone = False
         self.retry_pending = False
 
     @property
--- a/src/bramleyfork/controllers/_sender.py
+++ b/src/bramleyfork/controllers/_sender.py
@@ -120,5 +120,5 @@
             fingerprint=fingerprints.name_part(
                 route.fingerprint, segment.plan.service
             ),
-            suspect=segment.suspect,
+            suspect=segment.suspect or segment.alone,
         )
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -29,6 +29,10 @@
 _ANSWER_MARGIN_S = 0.01
 # Extra attempts a quiet host may make at once.
 _BUDGET_RESERVE = 20.0
+# Time for a notice that a target died to come from the host that saw it.
+_NOTICE_S = 0.05
+# A suspect goes to no other service once so many targets of one died with it.
+_DEATH_LIMIT = 2
 # Part of the deadline that must be left to start again on a newer snapshot.
 _RESTART_PART = 0.5
 
@@ -219,6 +223,32 @@
         self._timers.add(now + delay, _RELEASE, route.query.query_id, 0)
         return [canary]
 
+    def _follow_canary(self, route: _route.Route, now: float) -> None:
+        """Goes on when the first target was late or could not be read.
+
+        Another host may have sent the same request meanwhile and have lost a
+        target to it, so the segments of a suspect are sent one by one.
+        """
+        if not route.waiting:
+            return
+        if not self._is_suspect(route):
+            self._release(route, now)
+            return
+        if route.unsettled != len(route.waiting):
+            return
+        deaths = intake.count_deaths(
+            route.fingerprint,
+            route.lookup.services,
+            self.table("quarantine").copy_records(),
+        )
+        if deaths >= _DEATH_LIMIT:
+            self._finish(route)
+            return
+        following = route.waiting.pop()
+        following.alone = True
+        self._send_segment(route, following, now)
+        self._finish_if_settled(route, now)
+
     def _is_suspect(self, route: _route.Route) -> bool:
         """Returns whether a target died with this request in flight."""
         return route.has_suspect() or intake.has_entry(
@@ -282,10 +312,7 @@
         if kind == _FINISH:
             self._finish(route)
         elif kind == _RELEASE:
-            # Another host may have sent the same request meanwhile and
-            # have lost a target to it.
-            if not self._is_suspect(route):
-                self._release(route, now)
+            self._follow_canary(route, now)
         elif index < len(route.segments):
             self._serve_segment_timer(kind, route, route.segments[index], now)
 
@@ -448,13 +475,9 @@
             if route.has_suspect():
                 self._finish(route)
                 return
-            # The first target could not be read, but did not crash; the other
-            # segments can still be read, those of a suspect one by one.
-            if self._is_suspect(route):
-                self._send_segment(route, route.waiting.pop(), now)
-                self._finish_if_settled(route, now)
-                return
-            self._release(route, now)
+            # The same request may have crashed the target for another host.
+            due = now + _NOTICE_S
+            self._timers.add(due, _RELEASE, route.query.query_id, 0)
 
     def _finish(self, route: _route.Route) -> None:
         """Answers with what has been read."""
--- a/src/bramleyfork/decisions/canaries.py
+++ b/src/bramleyfork/decisions/canaries.py
@@ -5,7 +5,7 @@
 # remaining time. A slow first target is hedged before that. With a release at
 # the 95th percentile of the latency, a request that waited in a cold target's
 # queue went to all services before it had crashed the first target.
-_RELEASE_PART = 0.25
+_RELEASE_PART = 0.5
 
 
 class TrustedFingerprints:
--- a/src/bramleyfork/decisions/intake.py
+++ b/src/bramleyfork/decisions/intake.py
@@ -106,6 +106,19 @@
     )
 
 
+def count_deaths(
+    fingerprint: str,
+    services: collections.abc.Iterable[str],
+    quarantine: collections.abc.Mapping[str, fleet.Quarantined],
+) -> int:
+    """Returns the most targets of one service that died with a query."""
+    entries = [
+        quarantine.get(fingerprints.name_part(fingerprint, service))
+        for service in services
+    ]
+    return max((len(e.targets) for e in entries if e is not None), default=0)
+
+
 def _find_fault(
     query: requests.Query, declaration: declarations.Declaration
 ) -> tuple[str, str] | None:
