State what the straggler case does not measure

Cause: a reader could take its p99 for one that includes the discovery. Change: the doc comment says what is left out.

--- a/bench/cases.py
+++ b/bench/cases.py
@@ -231,7 +231,11 @@
     prepare=lambda fleet: _delay(fleet, 9 * find_service_ms()),
 )
 def plan_straggler(fleet: fleet_module.Fleet) -> Events:
-    """One target is ten times slower, from the warm-up on."""
+    """One target is ten times slower, from the warm-up on.
+
+    Its discovery is thus not measured, and routers remember it for up to 30 s,
+    so that later pairs of a case begin with what earlier ones have learned.
+    """
     return [(5.0, lambda: _delay(fleet, 0.0))]
 
 
