Keep the time of a booked share over publications; test the fleet's promises

Cause: the fleet's promises about configurations, data centres, leaving targets, placement and calls at the platform had no scenario. Each publication booked a gained share anew, 5 s ahead, even if the share had not changed. In a fleet whose configuration changes more often than that, a host that started refused every sub-request with no_share.

Change: a booked gain that is still part of the share keeps its time, and a due gain is taken up before the next change.

Conclusion: a share is taken up 5 s after it was first gained, whatever is published in between.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -87,6 +87,30 @@
             raise FleetError("; ".join(p.describe() for p in checked.error))
         return checked.ok
 
+    def add_host(self, name: str, *, like: str, ip: str) -> None:
+        """Declares one more host.
+
+        Args:
+          name: Its name.
+          like: A declared host in the same data centre.
+          ip: Its address, without the first two numbers.
+        """
+        settings = self.hosts[like]
+        own_ip = f"127.{self.net}.{ip}"
+        rows = dict(
+            row.split(" = ", 1) for row in settings.splitlines() if row.strip()
+        )
+        rows["host"] = json.dumps(name)
+        for key in ("peer", "caller", "administration"):
+            port = rows[f"{key}_address"].rpartition(":")[2]
+            rows[f"{key}_address"] = f'"{own_ip}:{port}'
+        self.hosts[name] = "".join(f"{k} = {v}\n" for k, v in rows.items())
+        self.parts["fleet"] += "\n[[hosts]]\n" + "".join(
+            f"{key} = {value}\n"
+            for key, value in {"name": json.dumps(name), **rows}.items()
+            if key in ("name", "data_centre", "peer_address", "caller_address")
+        )
+
     def find_platform_address(self) -> str:
         """Returns the address that the host settings name."""
         text = next(iter(self.hosts.values()))
@@ -241,12 +265,33 @@
         """Starts one host's process."""
         daemon = Daemon(
             name=name,
-            settings=self.deployment.hosts[name],
+            settings=self.deployment.hosts[name]
+            + f"cut_file = {json.dumps(str(self._find_cut_file(name)))}\n",
             folder=self.folder,
         )
         self.daemons[name] = daemon
         return daemon
 
+    def find_ip(self, host: str) -> str:
+        """Returns the address that a host's calls leave from."""
+        return self.declaration.hosts[host].peer_address.rpartition(":")[0]
+
+    def cut(self, host: str, *others: str, direction: str = "both") -> None:
+        """Cuts a host's traffic with other hosts; with none, ends its cuts.
+
+        Args:
+          host: The host that discards messages.
+          *others: Hosts that it is cut from.
+          direction: "out", "in" or "both", seen from ``host``.
+        """
+        path = self._find_cut_file(host)
+        fresh = path.with_suffix(".new")
+        fresh.write_text("".join(f"{direction} {name}\n" for name in others))
+        fresh.replace(path)
+
+    def _find_cut_file(self, host: str) -> pathlib.Path:
+        return self.folder / f"{host}.cut"
+
     def wait_ready(
         self, name: str, timeout_s: float = READY_TIMEOUT_S
     ) -> float:
@@ -295,14 +340,24 @@
         )
         return {**json.loads(reply.data), "status": reply.status}
 
-    def place(self, host: str, data_centre: str = "", tickets: int = 0):
+    def place(
+        self,
+        host: str,
+        data_centre: str = "",
+        tickets: int = 0,
+        caller: str = "",
+    ) -> Document:
         """Returns a host's placement answer with its status."""
         address = self.declaration.hosts[host].caller_address
         fields = {"tickets": str(tickets)} if tickets else {}
         if data_centre:
             fields["data_centre"] = data_centre
         reply = self._http.request(
-            "GET", f"http://{address}/v1/placement", fields=fields, timeout=5.0
+            "GET",
+            f"http://{address}/v1/placement",
+            fields=fields,
+            headers={"Caller-Name": caller} if caller else None,
+            timeout=5.0,
         )
         return {**json.loads(reply.data), "status": reply.status}
 
--- a/src/bramleyfork/controllers/_owned_target.py
+++ b/src/bramleyfork/controllers/_owned_target.py
@@ -62,11 +62,20 @@
         self._report_key: tuple | None = None
 
     def change_share(self, share: shares.Share, now: float) -> None:
-        """Gives up what is lost at once and books what is gained."""
+        """Gives up what is lost at once and books what is gained.
+
+        A gain that was booked before and is still part of the share keeps its
+        time. Otherwise a fleet whose configuration changes more often than
+        the delay would never take up a share.
+        """
+        self.take_up_share(now)
+        booked = self.gained_share
         self._use_share(shares.intersect_shares(self.share, share))
         self.gained_share = None
-        if share != self.share:
-            self.gained_share = share
+        if share == self.share:
+            return
+        self.gained_share = share
+        if booked is None or shares.intersect_shares(booked, share) != share:
             self.gained_at = now + shares.GAIN_DELAY_S
 
     def take_up_share(self, now: float) -> None:
--- a/tests/controllers/test_ownership.py
+++ b/tests/controllers/test_ownership.py
@@ -92,6 +92,16 @@
     assert bench.ask("a2", now=READY) == ["a2"]
 
 
+def test_publication_keeps_the_time_of_a_booked_gain():
+    # Publications closer together than the delay left hosts without shares.
+    bench = Bench()
+    bench.declare(
+        creators.create_declaration(services=[creators.create_service()])
+    )
+    bench.controller.step(READY - 0.1)
+    assert bench.ask("a1") == ["a1"]
+
+
 def test_cold_target_gets_only_its_cold_places():
     bench = Bench(cold_rate=1000.0, cold_in_flight=2)
     assert bench.ask("a1", "a2", "a3") == ["a1"]
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -131,6 +131,30 @@
         fleet.stop()
 
 
+@pytest.fixture(scope="module")
+def shared_world():
+    """Returns a function that starts a fleet for all scenarios of a module.
+
+    The function takes a change of the deployment and the targets' fields;
+    later calls return the same world.
+    """
+    created = []
+
+    def start(change=None, **target_fields):
+        if not created:
+            deployment = fleet_module.Deployment(name="small", net=choose_net())
+            if change is not None:
+                change(deployment)
+            fleet = fleet_module.Fleet(deployment=deployment, **target_fields)
+            created.append(World(fleet))
+            fleet.start()
+        return created[0]
+
+    yield start
+    for shared in created:
+        shared.fleet.stop()
+
+
 @pytest_bdd.given("a running fleet", target_fixture="running")
 def start_fleet(world):
     return world(service_ms=4.0, record_stride=1024)
--- /dev/null
+++ b/tests/scenarios/fleet_centres.feature
@@ -0,0 +1,64 @@
+Feature: Data centres out of service
+  A data centre that operators take out gets no new work after 4 seconds, by
+  the journals of its targets. That holds for a host that cannot reach the
+  platform but has peers, and for a process that was frozen over the change. A
+  host that hears nobody stops sending work.
+
+  A side of two or more hosts that sees no platform cannot tell that from an
+  outage of the platform. It goes on serving with the configuration it has and
+  hears of a data centre taken out meanwhile only when the split heals: service
+  was chosen over H4 and H10 for that side.
+
+  Scenario: A data centre is taken out and returns
+    Given the fleet of this feature
+    And callers that follow their placement
+    When the platform suffers hang for host "south-1"
+    And operators set data centre "south" out
+    Then data centre "south" gets no work 4 seconds after the change
+    And no placement names a host of data centre "south"
+    When the platform works again
+    And operators bring all data centres back
+    Then data centre "south" gets work again within 4 seconds
+    And the placed callers got true answers and nothing else
+    And no target saw more connections than declared
+
+  Scenario: A process that slept over the change sends nothing on waking
+    Given the fleet of this feature
+    And callers that keep asking host "south-1"
+    And callers that keep asking host "north-1"
+    When host "south-1" is frozen
+    And operators set data centre "south" out
+    And 4.5 seconds pass
+    And frozen host "south-1" wakes
+    And 3 seconds pass
+    Then host "south-1" has sent nothing to data centre "south" since it woke
+    And the waking host has refused or answered what waited for it
+    And no target saw more connections than declared
+
+  Scenario: A host that hears nobody stops, and others go on
+    Given the fleet of this feature
+    And callers that keep asking host "north-1"
+    And callers that keep asking host "south-1"
+    When the platform suffers hang for host "south-1"
+    And host "south-1" is cut from all others
+    Then host "south-1" sends nothing 4 seconds after the cut
+    And host "south-1" answers NOT_RUN with code "no_lease" and names the others
+    And host "north-1" still gives whole answers
+    When all cuts end
+    And the platform works again
+    Then all hosts agree again within 6 seconds
+    And no target saw more connections than declared
+
+  Scenario: Two hosts that see no platform go on with their revision
+    Given the fleet of this feature
+    And callers that keep asking host "north-1"
+    When the platform suffers refuse for host "north-1"
+    And the platform suffers refuse for host "east-1"
+    And host "south-1" is cut from all others
+    And operators set data centre "south" out
+    And 5 seconds pass
+    Then host "north-1" has the revision before
+    And host "south-1" has the new revision
+    And host "north-1" has given whole answers all the time
+    When all cuts end
+    Then the revision is in force on all hosts within 4 seconds
--- /dev/null
+++ b/tests/scenarios/fleet_promises.py
@@ -0,0 +1,334 @@
+"""What the scenarios of the fleet observe and how they restore it.
+
+Targets and the platform are witnesses: work is counted where it arrives.
+"""
+
+import collections
+import math
+import signal
+import threading
+import time
+
+import urllib3
+
+# A configuration, and the word that a target leaves, are promised to count
+# everywhere within this time.
+PROMISE_S = 4.0
+# How long after that no work may arrive.
+WATCHED_S = 2.0
+
+# Keys of World.marks.
+BASE_PARTS = "base parts"
+ENDING = "hosts asked to end"
+
+
+def restore(world):
+    """Heals, restarts and empties everything, so that scenarios don't mix."""
+    fleet = world.fleet
+    fleet.platform.control("outage", mode="none")
+    fleet.platform.control("stale", manifest_age=0)
+    parts = world.marks.setdefault(BASE_PARTS, dict(fleet.deployment.parts))
+    fleet.deployment.parts = dict(parts)
+    for name in world.marks.pop(ENDING, ()):
+        fleet.daemons[name].process.wait(10.0)
+    for name, daemon in list(fleet.daemons.items()):
+        fleet.cut(name)
+        if daemon.process.poll() is None:
+            daemon.send_signal(signal.SIGCONT)
+        else:
+            fleet.start_daemon(name)
+    for name in fleet.daemons:
+        fleet.wait_ready(name)
+    for stand_in in fleet.targets.values():
+        stand_in.control("faults")
+        stand_in.control("return")
+    fleet.list_targets()
+    highest = max(read_version(world, name)[0] for name in fleet.daemons)
+    world.marks["revision"] = fleet.publish(highest + 1)
+    wait_in_force(world, world.marks["revision"])
+    wait_settled(world)
+    for stand_in in fleet.targets.values():
+        stand_in.control("reset")
+
+
+def cut(world, host, *others, direction="both"):
+    """Cuts a host from others and waits until it has noticed."""
+    daemon = world.fleet.daemons[host]
+
+    def count_reads():
+        messages = [entry["message"] for entry in daemon.read_log()]
+        return messages.count("cut file read")
+
+    before = count_reads()
+    world.fleet.cut(host, *others, direction=direction)
+    world.wait_until(lambda: count_reads() > before, f"cut at {host}")
+
+
+def wait_settled(world, timeout_s=20.0):
+    """Waits until every host believes that all are alive and hold a lease."""
+    hosts = set(world.fleet.daemons)
+
+    def settled():
+        for name in hosts:
+            rows = world.fleet.administer(name, "/v1/members")["members"]
+            fine = {
+                row["host"]
+                for row in rows
+                if row["state"] == "alive" and row["leased"]
+            }
+            if fine | {name} != hosts:
+                return False
+        return True
+
+    started = time.time()
+    world.wait_until(settled, "belief in all hosts", timeout_s)
+    return time.time() - started
+
+
+def read_version(world, host):
+    """Returns revision and digest in force on a host; (0, "") if none is."""
+    shown = world.fleet.administer(host, "/v1/configuration")["in_force"]
+    return (shown["revision"], shown["digest"]) if shown else (0, "")
+
+
+def read_versions(world):
+    """Returns the versions in force on the hosts that run."""
+    return {
+        name: read_version(world, name)
+        for name, daemon in world.fleet.daemons.items()
+        if daemon.process.poll() is None
+    }
+
+
+def wait_in_force(world, revision, hosts=None, timeout_s=10.0):
+    """Waits until a revision is in force on hosts; returns the seconds."""
+    names = list(hosts or world.fleet.daemons)
+    started = time.time()
+    world.wait_until(
+        lambda: all(read_version(world, n)[0] == revision for n in names),
+        f"revision {revision} on {names}",
+        timeout_s,
+    )
+    return time.time() - started
+
+
+def list_centre_targets(world, data_centre):
+    """Returns the names of a data centre's targets."""
+    declared = world.fleet.declaration.targets.values()
+    return [t.name for t in declared if t.data_centre == data_centre]
+
+
+def list_arrivals(world, targets, since, until=None, source=None):
+    """Returns the reads and writes that reached targets in a time span."""
+    journals = world.fleet.read_journals()
+    return [
+        (name, attempt["arrival"] - since, attempt["source"])
+        for name in targets
+        for attempt in journals[name]["attempts"]
+        if attempt["arrival"] > since
+        and (until is None or attempt["arrival"] < until)
+        and (source is None or attempt["source"] == source)
+    ]
+
+
+def list_excess_connections(world):
+    """Returns the targets that saw more connections than declared."""
+    declaration = world.fleet.declaration
+    found = []
+    for name, journal in world.fleet.read_journals().items():
+        service = declaration.services[declaration.targets[name].service]
+        peak = journal["peak_connections"]
+        if peak > service.connections or journal["refused_connections"]:
+            found.append((name, peak, journal["refused_connections"]))
+    return found
+
+
+class Sampler:
+    """Watches the versions in force on all hosts, several times a second.
+
+    Attributes:
+      seen: Versions by host, in the order seen, without repetitions.
+    """
+
+    LIMIT = 2000
+
+    def __init__(self, world):
+        self.world = world
+        self.seen = collections.defaultdict(list)
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(name,), daemon=True)
+            for name in world.fleet.daemons
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join(10.0)
+
+    def list_reversions(self):
+        """Returns hosts and versions where a lower one followed."""
+        return [
+            (host, before, after)
+            for host, versions in self.seen.items()
+            for before, after in zip(versions, versions[1:], strict=False)
+            if after < before
+        ]
+
+    def _run(self, host):
+        for _ in range(self.LIMIT):
+            if self._stopped.wait(0.05):
+                return
+            try:
+                version = read_version(self.world, host)
+            except (urllib3.exceptions.HTTPError, OSError):
+                continue
+            # A process that starts has nothing in force yet.
+            if version[0] and self.seen[host][-1:] != [version]:
+                self.seen[host].append(version)
+
+
+class Publisher:
+    """Publishes the present parts again and again, bounded in count."""
+
+    LIMIT = 60
+
+    def __init__(self, world, pause_s):
+        self.world = world
+        self.pause_s = pause_s
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def stop(self):
+        self._stopped.set()
+        self._thread.join(10.0)
+
+    def _run(self):
+        for _ in range(self.LIMIT):
+            self.world.fleet.publish()
+            if self._stopped.wait(self.pause_s):
+                return
+
+
+class Callers:
+    """Callers that keep a placement answer to its end, bounded in count.
+
+    A caller asks any host for a placement, uses the first host of the answer
+    for the answer's lifetime and then asks again. If a connection fails, it
+    goes to the next host of the answer. With ``host`` it stays with that one.
+
+    Attributes:
+      rows: (time of the query, host, answer).
+      errors: (time of the query, host, error).
+    """
+
+    LIMIT = 4000
+
+    def __init__(
+        self,
+        *,
+        world,
+        lookup,
+        count=6,
+        pause_s=0.03,
+        host=None,
+        asked=None,
+        **fields,
+    ):
+        self.world = world
+        self.host = host
+        self.lookup = lookup
+        self.fields = fields
+        self.pause_s = pause_s
+        self.rows = []
+        self.errors = []
+        self.asked = sorted(asked or world.fleet.daemons)
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,), daemon=True)
+            for n in range(count)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join(10.0)
+
+    def list_faults(self):
+        return [
+            fault
+            for _, _, answer in self.rows
+            for fault in self.world.find_faults(answer, self.lookup)
+        ]
+
+    def list_others(self):
+        """Returns time, host and answer of all that are not whole."""
+        return [
+            (at, host, {**answer, "records": []})
+            for at, host, answer in self.rows
+            if answer["code"] != "ok"
+        ]
+
+    def list_codes(self, since=0.0):
+        return collections.Counter(
+            answer["code"] for at, _, answer in self.rows if at >= since
+        )
+
+    def _run(self, number):
+        placed, until, turn = [], 0.0, number
+        while not self._stopped.wait(self.pause_s):
+            if len(self.rows) >= self.LIMIT:
+                return
+            if time.monotonic() >= until or not placed:
+                turn += 1
+                placed, until = self._place(number, turn)
+                continue
+            at, host = time.time(), placed[0]
+            try:
+                answer = self.world.fleet.query(
+                    host, self.lookup, **self.fields
+                )
+            except Exception as error:
+                self.errors.append((at, host, repr(error)))
+                placed = placed[1:]
+            else:
+                answer["answered_at"] = time.time()
+                self.rows.append((at, host, answer))
+
+    def _place(self, number, turn):
+        if self.host is not None:
+            return [self.host], math.inf
+        asked = self.asked[turn % len(self.asked)]
+        # Counted from before the question, as a careful caller does.
+        started = time.monotonic()
+        try:
+            answer = self.world.fleet.place(asked, caller=f"caller-{number}")
+        except Exception:
+            return [], 0.0
+        if answer["status"] != 200:
+            return [], 0.0
+        names = [row["host"] for row in answer["hosts"]]
+        return names, started + answer["lifetime_ms"] / 1000
+
+
+def wait_answers(world, callers, count=20):
+    """Waits until callers have had answers."""
+    world.wait_until(
+        lambda: callers.list_codes()["ok"] >= count, f"{count} whole answers"
+    )
+
+
+class Group:
+    """Several groups of callers that end together."""
+
+    def __init__(self):
+        self.members = []
+
+    def stop(self):
+        for callers in self.members:
+            callers.stop()
