--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,15 +3,13 @@
 import json
 import os
 import pathlib
-import signal
-import subprocess
-import sys
 import tempfile
 import time
 import typing
 
 import urllib3
 
+from bench import daemons
 from bramleyfork.configuration import declaration as declaration_module
 from bramleyfork.configuration import manifests
 from bramleyfork.core import declarations
@@ -123,58 +121,6 @@
         return path.read_text().replace('"127.0.', f'"127.{self.net}.')
 
 
-class Daemon:
-    """One host's process.
-
-    Args:
-      name: Name of the host.
-      settings: Text of its settings file.
-      folder: Where its settings and log are written.
-    """
-
-    __slots__ = ("name", "settings_path", "log_path", "process", "log")
-
-    def __init__(self, *, name: str, settings: str, folder: pathlib.Path):
-        self.name = name
-        self.settings_path = folder / f"{name}.toml"
-        self.settings_path.write_text(settings)
-        self.log_path = folder / f"{name}.log"
-        self.log = self.log_path.open("ab")
-        self.process = subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "bramleyfork.daemon",
-                "--settings",
-                str(self.settings_path),
-            ],
-            stdin=subprocess.DEVNULL,
-            stdout=self.log,
-            stderr=self.log,
-        )
-
-    def send_signal(self, number: int) -> None:
-        """Sends a signal such as SIGSTOP to the process."""
-        self.process.send_signal(number)
-
-    def stop(self, timeout_s: float = 5.0) -> int:
-        """Ends the process at once; returns its exit status."""
-        if self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
-        status = self.process.wait(timeout_s)
-        self.log.close()
-        return status
-
-    def read_log(self) -> list[Document]:
-        """Returns the JSON lines written so far."""
-        entries = []
-        for line in self.log_path.read_text(errors="replace").splitlines():
-            if line.startswith("{"):
-                entries.append(json.loads(line))
-        return entries
-
-
 class Fleet:
     """Platform, targets and daemons of one deployment.
 
@@ -189,7 +135,7 @@
         self.deployment = deployment
         self.declaration = deployment.read_declaration()
         self.target_fields = target_fields
-        self.daemons: dict[str, Daemon] = {}
+        self.daemons: dict[str, daemons.Daemon] = {}
         self.targets: dict[str, launch.StandIn] = {}
         self.platform: launch.StandIn | None = None
         self._folder = tempfile.TemporaryDirectory(prefix="bramleyfork-")
@@ -261,9 +207,9 @@
                 )
             )
 
-    def start_daemon(self, name: str) -> Daemon:
+    def start_daemon(self, name: str) -> daemons.Daemon:
         """Starts one host's process."""
-        daemon = Daemon(
+        daemon = daemons.Daemon(
             name=name,
             settings=self.deployment.hosts[name]
             + f"cut_file = {json.dumps(str(self._find_cut_file(name)))}\n",
--- a/src/bramleyfork/controllers/configuration.py
+++ b/src/bramleyfork/controllers/configuration.py
@@ -149,8 +149,13 @@
         ):
             return
         # A read ordered for an earlier candidate may bring an older part.
-        if result.sent_at >= candidate.asked_at:
-            self._drop_source(f"part {key!r} is not as declared", now)
+        if result.sent_at < candidate.asked_at:
+            return
+        reason = f"part {key!r} was not read: {result.error}"
+        if result.status in (200, 404):
+            body = result.body if result.status == 200 else None
+            reason = candidates.describe_wrong_part(candidate, key, body)
+        self._drop_source(reason, now)
 
     # Messages of peers.
 
--- a/src/bramleyfork/decisions/candidates.py
+++ b/src/bramleyfork/decisions/candidates.py
@@ -135,6 +135,27 @@
     return candidate.replace(bodies=bodies, answer_by=answer_by)
 
 
+def describe_wrong_part(
+    candidate: Candidate, key: str, body: bytes | None
+) -> str:
+    """Returns how a part differs from what the manifest names.
+
+    Args:
+      candidate: A candidate.
+      key: Key of the part.
+      body: Its content; None if the holder does not have it.
+    """
+    reason = f"part {key!r} is not as declared"
+    part = candidate.manifest and candidate.manifest.parts.get(key)
+    if not part:
+        return reason
+    bodies = candidate.bodies | ({} if body is None else {key: body})
+    file = f"{key}.toml"
+    problems = manifests.check_bodies(candidate.manifest, bodies)
+    lines = [p.describe() for p in problems if p.file == file]
+    return "\n".join(lines) or reason
+
+
 def is_waiting(candidate: Candidate, now: float) -> bool:
     """Returns whether the source asked last may still answer."""
     return bool(candidate.source) and now < candidate.answer_by
--- a/tests/controllers/test_controllers_configuration.py
+++ b/tests/controllers/test_controllers_configuration.py
@@ -87,7 +87,7 @@
     for now in (1.0, 1.3, 1.4):
         node.serve(half, now)
     assert node.read_version()[0] == 1
-    assert "'fleet'" in node.table.get("refused").reason
+    assert "fleet.toml: content" in node.table.get("refused").reason
     for now in (1.5, 2.5, 2.6, 2.7):
         node.serve(new, now)
     assert node.read_version() == configuration_rig.find_version(new)
--- a/tests/scenarios/fleet_configuration.feature
+++ b/tests/scenarios/fleet_configuration.feature
@@ -19,8 +19,8 @@
       | a value of 0 slots  | services.toml; slots; 0; 1   |
       | an unknown key      | services.toml; slotz; slots  |
       | an undeclared place | targets.toml; west; north    |
-      | a missing part      | targets                      |
-      | a wrong digest      | services                     |
+      | a missing part      | targets.toml; content; missing; manifest.toml |
+      | a wrong digest      | services.toml; content; bytes; SHA-256 |
       | no revision         | manifest.toml; revision      |
 
   Scenario: No host goes back, whatever the platform serves
--- a/tests/scenarios/fleet_platform.feature
+++ b/tests/scenarios/fleet_platform.feature
@@ -10,7 +10,7 @@
     When calls are counted for 4 seconds of rest
     Then each watching host made at most 2.5 calls a second
     And the host without the watch made at most 1 call
-    When the platform suffers hang for everyone
+    When the platform suffers refuse for everyone
     And calls are counted for 8 seconds of outage
     Then each host kept within the bound of its pauses
     When the platform works again
--- a/tests/scenarios/fleet_promises.py
+++ b/tests/scenarios/fleet_promises.py
@@ -19,6 +19,7 @@
 
 # Keys of World.marks.
 BASE_PARTS = "base parts"
+SEATS = "callers that hold seats"
 ENDING = "hosts asked to end"
 
 
@@ -323,6 +324,14 @@
     )
 
 
+def stop_load(world):
+    """Ends the callers of a scenario, so that the next one is not disturbed."""
+    for callers in (world.load, world.marks.pop(SEATS, None)):
+        if callers is not None:
+            callers.stop()
+    world.load = None
+
+
 class Group:
     """Several groups of callers that end together."""
 
--- a/tests/scenarios/fleet_steps.py
+++ b/tests/scenarios/fleet_steps.py
@@ -13,9 +13,7 @@
     world = shared_world(service_ms=4.0, record_stride=1024)
     fleet_promises.restore(world)
     yield world
-    if world.load is not None:
-        world.load.stop()
-        world.load = None
+    fleet_promises.stop_load(world)
 
 
 @pytest_bdd.given("callers that follow their placement")
@@ -117,3 +115,19 @@
     running.load.stop()
     assert running.load.rows
     assert running.load.list_faults() == []
+
+
+@pytest_bdd.then(
+    parse(
+        'data centre "{name}" gets no work {seconds:g} seconds after the change'
+    )
+)
+def check_no_work(running, name, seconds):
+    since = running.marks["changed"] + seconds
+    targets = fleet_promises.list_centre_targets(running, name)
+    before = fleet_promises.list_arrivals(
+        running, targets, 0.0, running.marks["changed"] + 0.1
+    )
+    assert before, "no work arrived before the change"
+    time.sleep(max(0.0, since + fleet_promises.WATCHED_S - time.time()))
+    assert fleet_promises.list_arrivals(running, targets, since) == []
--- a/tests/scenarios/test_fleet_centres.py
+++ b/tests/scenarios/test_fleet_centres.py
@@ -45,22 +45,6 @@
     running.marks["revision"] = running.fleet.publish()
 
 
-@pytest_bdd.then(
-    parse(
-        'data centre "{name}" gets no work {seconds:g} seconds after the change'
-    )
-)
-def check_no_work(running, name, seconds):
-    since = running.marks["changed"] + seconds
-    targets = fleet_promises.list_centre_targets(running, name)
-    before = fleet_promises.list_arrivals(
-        running, targets, 0.0, running.marks["changed"] + 0.1
-    )
-    assert before, "no work arrived before the change"
-    time.sleep(max(0.0, since + fleet_promises.WATCHED_S - time.time()))
-    assert fleet_promises.list_arrivals(running, targets, since) == []
-
-
 @pytest_bdd.then(parse('no placement names a host of data centre "{name}"'))
 def check_placements(running, name):
     for host in running.fleet.daemons:
--- a/tests/scenarios/test_fleet_placement.py
+++ b/tests/scenarios/test_fleet_placement.py
@@ -1,11 +1,13 @@
 import collections
-import threading
 import time
 
 import pytest_bdd
 from tests.scenarios import fleet_promises
 
-pytest_plugins = ["tests.scenarios.fleet_steps"]
+pytest_plugins = [
+    "tests.scenarios.fleet_steps",
+    "tests.scenarios.fleet_seats",
+]
 
 pytest_bdd.scenarios("fleet_placement.feature")
 
@@ -14,7 +16,6 @@
 # From the declaration of the small deployment.
 LIFETIME_S = 2.0
 LONGEST_DEADLINE_S = 2.0
-SEAT_LIMIT = 400
 
 
 @pytest_bdd.given(parse("targets that take {delay_ms:g} ms"))
@@ -126,66 +127,3 @@
     callers.stop()
     assert callers.errors == []
     assert callers.list_others() == []
-
-
-class SeatHolders:
-    """Callers that hold a seat each, with a ticket, one after another."""
-
-    def __init__(self, world, host, count=4):
-        self.world = world
-        self.host = host
-        self.rows = []
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._run, args=(n,), daemon=True)
-            for n in range(count)
-        ]
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self):
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join(10.0)
-
-    def _run(self, number):
-        for turn in range(SEAT_LIMIT):
-            if self._stopped.wait(0.02):
-                return
-            placed = self.world.fleet.place(self.host, tickets=1)
-            if not placed.get("tickets"):
-                continue
-            seat = f"seat {number} {turn}"
-            answer = self.world.fleet.query(
-                self.host,
-                "seat-hold",
-                key=turn * 100 % 65536,
-                parameters=seat,
-                ticket=placed["tickets"][0],
-            )
-            self.rows.append((seat, answer))
-
-
-@pytest_bdd.given(parse('callers that hold seats through host "{host}"'))
-def start_seats(running, host):
-    seats = SeatHolders(running, host)
-    running.marks["seats"] = seats
-    running.wait_until(lambda: len(seats.rows) >= 5, "five seats")
-
-
-@pytest_bdd.then("every verdict on a seat agrees with the targets' journals")
-def check_seats(running):
-    seats = running.marks["seats"]
-    seats.stop()
-    counts = collections.Counter()
-    for journal in running.fleet.read_journals().values():
-        for row in journal["writes"]:
-            counts[row["parameters"]] += row["count"]
-    allowed = {"RAN": {1}, "NOT_RUN": {0}, "MAY_HAVE_RUN": {0, 1}}
-    wrong = [
-        (seat, answer["verdict"], answer["code"], counts[seat])
-        for seat, answer in seats.rows
-        if counts[seat] not in allowed[answer["verdict"]]
-    ]
-    assert wrong == []
-    assert {answer["verdict"] for _, answer in seats.rows} >= {"RAN"}
