Test that callers of one data centre are spread over its hosts

Cause: the scenario of the spread asked each host for its own data centre, so distance alone spread the callers.

Change: a scenario with two hosts per data centre counts which host is first.

Seen to fail with the caller left out of the hash: 196 of 200 callers went to one host. The older scenario passed all the same.

Conclusion: the hash of the caller is covered now.

--- a/tests/scenarios/fleet_split.feature
+++ b/tests/scenarios/fleet_split.feature
@@ -32,3 +32,7 @@
       | north-1, south-1 | north-2, east-1, east-2, south-2 | both |
       | north-1, north-2, east-1  | east-2, south-1, south-2 | both      |
       | north-1, south-2          | north-2, east-1, east-2, south-1 | out |
+
+  Scenario: Callers of one data centre are spread over its hosts
+    Given a fleet of six hosts, two in each data centre
+    Then hosts north-1, north-2 are each first for 30 of 100 percent of callers
--- a/tests/scenarios/test_fleet_split.py
+++ b/tests/scenarios/test_fleet_split.py
@@ -1,3 +1,4 @@
+import collections
 import time
 
 import pytest_bdd
@@ -61,3 +62,22 @@
         if journal["outcomes"].get("shed", 0):
             excess.append((name, journal["outcomes"], service.queue))
     assert excess == []
+
+
+@pytest_bdd.then(
+    parse(
+        "hosts {names} are each first for {share:d} of 100 percent of callers"
+    )
+)
+def check_spread(running, names, share):
+    hosts = sorted(running.fleet.daemons)
+    count = 200
+    first = collections.Counter()
+    for number in range(count):
+        asked = hosts[number % len(hosts)]
+        rows = running.fleet.place(
+            asked, data_centre="north", caller=f"c{number}"
+        )["hosts"]
+        first[rows[0]["host"]] += 1
+    assert set(first) == set(names.split(", "))
+    assert min(first.values()) >= count * share / 100, first
