Prefer replicas with a sound owner and hedge retries too

A replica was chosen before its owner was looked at, so replicas behind suspect hosts were still chosen; and a retry that went to a silent owner was never hedged. Change: replicas whose owner is suspect, unknown or silent are chosen only when no other is left. Every attempt gets a hedge timer; asking elsewhere after a silent owner may be paid from the retry budget. Attempts are decided in controllers/_dispatch, the penalty of an owner in decisions/owners. Conclusion: routers leave hosts that don't answer before they are dead.

--- /dev/null
+++ b/src/bramleyfork/controllers/_dispatch.py
@@ -0,0 +1,207 @@
+"""First attempts, hedges, trials and retries of a router's segments."""
+
+import logging
+
+from bramleyfork.controllers import _fleet_view
+from bramleyfork.controllers import _route
+from bramleyfork.controllers import _sender
+from bramleyfork.controllers import _timers
+from bramleyfork.core import declarations
+from bramleyfork.core import logs
+from bramleyfork.core import replies
+from bramleyfork.decisions import budgets
+from bramleyfork.decisions import canaries
+from bramleyfork.decisions import hedging
+from bramleyfork.decisions import retries
+
+_DECISIONS = logging.getLogger(logs.DECISIONS)
+
+# Extra attempts a quiet host may make at once.
+_BUDGET_RESERVE = 20.0
+
+
+class Dispatcher:
+    """Decides on each attempt at a segment and hands it to the sender.
+
+    Args:
+      view: What the router knows of the fleet.
+      sender: Sends attempts.
+      timers: Timers of hedges and delayed retries.
+      trusted: Fingerprints of queries that have completed here.
+
+    Attributes:
+      counters: Hedges and retries so far.
+    """
+
+    __slots__ = (
+        "counters",
+        "_view",
+        "_sender",
+        "_timers",
+        "_trusted",
+        "_hedges",
+        "_retries",
+    )
+
+    def __init__(
+        self,
+        *,
+        view: _fleet_view.FleetView,
+        sender: _sender.Sender,
+        timers: _timers.Timers,
+        trusted: canaries.TrustedFingerprints,
+        counters: dict[str, int],
+    ):
+        self.counters = counters
+        self._view = view
+        self._sender = sender
+        self._timers = timers
+        self._trusted = trusted
+        self._hedges = budgets.Budget(ratio=0.0, reserve=_BUDGET_RESERVE)
+        self._retries = budgets.Budget(ratio=0.0, reserve=_BUDGET_RESERVE)
+
+    def use_declaration(self, declaration: declarations.Declaration) -> None:
+        """Takes over the declared budgets."""
+        self._hedges.ratio = declaration.hedge_budget
+        self._retries.ratio = declaration.retry_budget
+
+    def send(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> tuple[str, str] | None:
+        """Makes the next attempt; returns target and owner, or None.
+
+        A segment without a usable target and owner is given up, unless an
+        attempt is still open.
+        """
+        choice = self._sender.choose(segment, now)
+        if choice is None:
+            if not segment.list_open():
+                route.give_up(segment)
+            return None
+        first = not segment.attempts
+        self._sender.send(route, segment, choice, now)
+        self._plan_hedge(route, segment, now)
+        if first:
+            self._hedges.earn()
+            self._retries.earn()
+            self._send_trial(route, segment, now)
+        return choice
+
+    def serve_hedge(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> None:
+        """Asks another replica as well when the latest attempt is slow."""
+        if segment.settled or segment.suspect:
+            return
+        if len(segment.attempts) > retries.MOST_EXTRA_ATTEMPTS:
+            return
+        latest = segment.attempts[-1]
+        if not latest.open or now < latest.hedge_at:
+            return
+        silent = self._view.judge_silence(latest.owner, latest.sent_at, now)
+        if self._sender.choose(segment, now) is None:
+            return
+        # An owner that answers nobody is lost for now, so asking elsewhere is
+        # a retry as much as a hedge.
+        if not self._hedges.spend() and not (silent and self._retries.spend()):
+            return
+        choice = self.send(route, segment, now)
+        if choice is not None:
+            self.counters["hedges"] += 1
+            reason = "silent owner" if silent else "slow"
+            _log_attempt("segment hedged", route, segment, choice, reason)
+
+    def serve_retry(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> None:
+        """Makes an attempt that was put off."""
+        if segment.retry_pending and not segment.settled:
+            segment.retry_pending = False
+            self.send(route, segment, now)
+
+    def retry(
+        self,
+        route: _route.Route,
+        segment: _route.Segment,
+        reply: replies.SubReply,
+        now: float,
+    ) -> bool:
+        """Makes or schedules one more attempt; returns whether it did."""
+        if not retries.may_repeat(reply, idempotent=route.lookup.idempotent):
+            return False
+        free = retries.is_free(reply)
+        if not free and len(segment.attempts) > retries.MOST_EXTRA_ATTEMPTS:
+            return False
+        choice = self._sender.choose(segment, now)
+        due = retries.find_retry_time(
+            reply, has_choice=choice is not None, now=now
+        )
+        if due is None or due >= route.deadline:
+            return False
+        if not free and not self._retries.spend():
+            return False
+        self.counters["retries"] += 1
+        if due > now:
+            segment.schedule_retry()
+            index = route.segments.index(segment)
+            query_id = route.query.query_id
+            self._timers.add(due, _timers.RETRY, query_id, index)
+            return True
+        _log_attempt("segment retried", route, segment, choice, reply.code)
+        return self.send(route, segment, now) is not None
+
+    def _plan_hedge(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> None:
+        if not route.lookup.idempotent or len(segment.plan.candidates) < 2:
+            return
+        delay = hedging.find_hedge_delay(
+            self._view.service_latency[segment.plan.service],
+            self._view.declaration.hedge_percentile,
+        )
+        if delay is None or now + delay >= route.deadline:
+            return
+        due = segment.attempts[-1].hedge_at = now + delay
+        index = route.segments.index(segment)
+        self._timers.add(due, _timers.HEDGE, route.query.query_id, index)
+
+    def _send_trial(
+        self, route: _route.Route, segment: _route.Segment, now: float
+    ) -> None:
+        """Asks an avoided target beside the chosen one, from the hedge budget.
+
+        The query does not wait for it, and the target is used again once it
+        answers first.
+        """
+        trusted = self._trusted.has(route.fingerprint)
+        if not route.lookup.idempotent or not trusted:
+            return
+        others = [t for t in segment.plan.candidates if t not in segment.tried]
+        target = self._view.find_trial(others, now)
+        if target is None:
+            return
+        choice = self._sender.choose_owner(segment, target, now)
+        if choice is None or not self._hedges.spend():
+            return
+        self._sender.send(route, segment, choice, now)
+        self.counters["hedges"] += 1
+        _log_attempt("segment hedged", route, segment, choice, "trial")
+
+
+def _log_attempt(
+    message: str,
+    route: _route.Route,
+    segment: _route.Segment,
+    choice: tuple[str, str],
+    reason: str,
+) -> None:
+    _DECISIONS.info(
+        message,
+        extra={
+            "query": route.query.query_id,
+            "service": segment.plan.service,
+            "target": choice[0],
+            "owner": choice[1],
+            "reason": reason,
+        },
+    )
--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -10,6 +10,7 @@
 from bramleyfork.core import replies
 from bramleyfork.core import requests
 from bramleyfork.decisions import latencies
+from bramleyfork.decisions import owners
 from bramleyfork.decisions import ranking
 from bramleyfork.decisions import replicas
 from bramleyfork.decisions import retries
@@ -164,8 +165,8 @@
         members: blackboard.Table,
         refused: set[tuple[str, str]],
         now: float,
-    ) -> str | None:
-        """Returns the host to send through, or None.
+    ) -> tuple[int, str] | None:
+        """Returns the host to send through with its penalty, or None.
 
         Owners are tried in rank order; one that is leaving, suspect, never
         heard of or has failed lately is taken only if there is no better one.
@@ -174,10 +175,16 @@
         for rank, owner in enumerate(self._list_owners(target)):
             if (target, owner) in refused:
                 continue
-            penalty = self._judge_owner(owner, members.get(owner), now)
+            silent = self._avoided_owners.get(owner, 0.0) > now
+            penalty = owners.SOUND
+            if owner != self.host:
+                penalty = owners.judge_owner(members.get(owner), silent=silent)
             if penalty is not None:
                 choices.append((penalty, rank, owner))
-        return min(choices)[2] if choices else None
+        if not choices:
+            return None
+        penalty, _, owner = min(choices)
+        return penalty, owner
 
     def note_send(self, target: str) -> None:
         """Counts an attempt."""
@@ -189,14 +196,16 @@
         if stats is not None:
             stats.outstanding = max(0, stats.outstanding - 1)
 
-    def judge_silence(self, owner: str, sent_at: float, now: float) -> None:
+    def judge_silence(self, owner: str, sent_at: float, now: float) -> bool:
         """Avoids an owner that has answered nothing since ``sent_at``.
 
         A frozen host keeps its streams open, so silence is the first sign of
         it, before its peers suspect it.
         """
-        if self._heard_owners.get(owner, 0.0) < sent_at:
-            self._avoided_owners[owner] = now + _AVOID_S
+        if self._heard_owners.get(owner, 0.0) >= sent_at:
+            return False
+        self._avoided_owners[owner] = now + _AVOID_S
+        return True
 
     def note_lost(self, target: str, elapsed_s: float, now: float) -> None:
         """Learns that another replica answered first.
@@ -282,22 +291,6 @@
             return (self.host,)
         return self._ranking.find_owners(declared)
 
-    def _judge_owner(
-        self, owner: str, member: fleet.Member | None, now: float
-    ) -> int | None:
-        if owner == self.host:
-            return 0
-        if member is not None and member.state == "dead":
-            return None
-        penalty = 0
-        if self._avoided_owners.get(owner, 0.0) > now:
-            penalty += 4
-        if member is None or member.state == "suspect":
-            penalty += 2
-        elif member.state == "leaving" or not member.leased:
-            penalty += 1
-        return penalty
-
     def _build_candidate(self, name: str, now: float) -> replicas.Candidate:
         stats = self._find_stats(name)
         # A query that runs while the declaration changes may still name a
--- a/src/bramleyfork/controllers/_route.py
+++ b/src/bramleyfork/controllers/_route.py
@@ -1,5 +1,7 @@
 """Working state of one query on its way through the fleet."""
 
+import math
+
 from bramleyfork.core import declarations
 from bramleyfork.core import ranges
 from bramleyfork.core import replies
@@ -17,11 +19,20 @@
       target: Name of the target.
       owner: Host that sends it.
       sent_at: Monotonic seconds.
+      hedge_at: When another replica is asked as well, monotonic seconds.
       verdict: What is known of its execution; MAY_HAVE_RUN until answered.
       open: Whether a reply is still awaited.
     """
 
-    __slots__ = ("attempt_id", "target", "owner", "sent_at", "verdict", "open")
+    __slots__ = (
+        "attempt_id",
+        "target",
+        "owner",
+        "sent_at",
+        "hedge_at",
+        "verdict",
+        "open",
+    )
 
     def __init__(
         self, *, attempt_id: str, target: str, owner: str, sent_at: float
@@ -30,6 +41,7 @@
         self.target = target
         self.owner = owner
         self.sent_at = sent_at
+        self.hedge_at = math.inf
         self.verdict = verdicts.Verdict.MAY_HAVE_RUN
         self.open = True
 
--- a/src/bramleyfork/controllers/_sender.py
+++ b/src/bramleyfork/controllers/_sender.py
@@ -5,6 +5,7 @@
 from bramleyfork.core import blackboard
 from bramleyfork.core import requests
 from bramleyfork.decisions import fingerprints
+from bramleyfork.decisions import owners
 
 
 class Sender:
@@ -50,27 +51,30 @@
         self, segment: _route.Segment, now: float
     ) -> tuple[str, str] | None:
         """Returns the next target and owner for a segment, or None."""
-        candidates = [
-            c for c in segment.plan.candidates if c not in segment.tried
-        ]
-        while candidates:
-            target = self._view.choose_target(candidates, now)
-            owner = self._view.find_owner(
-                target, self._members, segment.refused_owners, now
-            )
-            if owner is not None:
-                return target, owner
-            candidates.remove(target)
-        return None
+        found = {
+            target: owner
+            for target in segment.plan.candidates
+            if target not in segment.tried
+            and (owner := self._find_owner(segment, target, now)) is not None
+        }
+        # A replica behind a doubtful owner waits for others to be tried.
+        sound = [t for t, (p, _) in found.items() if p < owners.DOUBTFUL]
+        target = self._view.choose_target(sound or list(found), now)
+        return None if target is None else (target, found[target][1])
 
     def choose_owner(
         self, segment: _route.Segment, target: str, now: float
     ) -> tuple[str, str] | None:
         """Returns a target with the owner to send through, or None."""
-        owner = self._view.find_owner(
-            target, self._members.copy_records(), segment.refused_owners, now
+        found = self._find_owner(segment, target, now)
+        return None if found is None else (target, found[1])
+
+    def _find_owner(
+        self, segment: _route.Segment, target: str, now: float
+    ) -> tuple[int, str] | None:
+        return self._view.find_owner(
+            target, self._members, segment.refused_owners, now
         )
-        return None if owner is None else (target, owner)
 
     def send(
         self,
--- a/src/bramleyfork/controllers/_timers.py
+++ b/src/bramleyfork/controllers/_timers.py
@@ -2,6 +2,12 @@
 
 import heapq
 
+HEDGE = "hedge"
+RETRY = "retry"
+FINISH = "finish"
+RELEASE = "release"
+FORGET = "forget"
+
 
 class Timers:
     """Due times of (kind, query id, segment index), earliest first.
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -3,6 +3,7 @@
 import logging
 
 from bramleyfork.configuration import settings as settings_module
+from bramleyfork.controllers import _dispatch
 from bramleyfork.controllers import _fleet_view
 from bramleyfork.controllers import _route
 from bramleyfork.controllers import _sender
@@ -15,10 +16,8 @@
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import answers
-from bramleyfork.decisions import budgets
 from bramleyfork.decisions import canaries
 from bramleyfork.decisions import fingerprints
-from bramleyfork.decisions import hedging
 from bramleyfork.decisions import intake
 from bramleyfork.decisions import retries
 from bramleyfork.decisions import snapshots
@@ -27,8 +26,6 @@
 
 # Time kept for assembling and sending an answer before the caller's deadline.
 _ANSWER_MARGIN_S = 0.01
-# Extra attempts a quiet host may make at once.
-_BUDGET_RESERVE = 20.0
 # Time for a notice that a target died to come from the host that saw it.
 _NOTICE_S = 0.05
 # A suspect goes to no other service once so many targets of one died with it.
@@ -36,12 +33,6 @@
 # Part of the deadline that must be left to start again on a newer snapshot.
 _RESTART_PART = 0.5
 
-_HEDGE = "hedge"
-_RETRY = "retry"
-_FINISH = "finish"
-_RELEASE = "release"
-_FORGET = "forget"
-
 
 @controllers.register(
     "routing",
@@ -60,8 +51,7 @@
         "_tickets",
         "_timers",
         "_trusted",
-        "_hedges",
-        "_retries",
+        "_dispatcher",
         "_answers",
     )
 
@@ -88,8 +78,13 @@
         )
         self._timers = _timers.Timers()
         self._trusted = canaries.TrustedFingerprints()
-        self._hedges = budgets.Budget(ratio=0.0, reserve=_BUDGET_RESERVE)
-        self._retries = budgets.Budget(ratio=0.0, reserve=_BUDGET_RESERVE)
+        self._dispatcher = _dispatch.Dispatcher(
+            view=self._view,
+            sender=self._sender,
+            timers=self._timers,
+            trusted=self._trusted,
+            counters=self.counters,
+        )
         self._answers: list[replies.Answer] = []
 
     def step(self, now: float) -> float | None:
@@ -114,8 +109,7 @@
         if entry is None or entry.declaration is self._view.declaration:
             return
         self._view.use_declaration(entry.declaration)
-        self._hedges.ratio = entry.declaration.hedge_budget
-        self._retries.ratio = entry.declaration.retry_budget
+        self._dispatcher.use_declaration(entry.declaration)
 
     # Start of a query.
 
@@ -141,7 +135,7 @@
             self._answers.append(refusal)
             return
         self.writer("routes").put(query.query_id, route)
-        self._timers.add(route.deadline, _FINISH, query.query_id, 0)
+        self._timers.add(route.deadline, _timers.FINISH, query.query_id, 0)
         self._use_plan(route, self._find_plan(route, frozenset(), now), now)
 
     def _find_refusal(
@@ -159,7 +153,9 @@
         accepted = self._tickets.accept(route.query, now)
         if isinstance(accepted, replies.Answer):
             return accepted
-        self._timers.add(accepted.expires_at, _FORGET, "", accepted.number)
+        self._timers.add(
+            accepted.expires_at, _timers.FORGET, "", accepted.number
+        )
         return None
 
     def _find_plan(
@@ -185,7 +181,7 @@
             self._finish(route)
             return
         first = self._hold_back(route, now)
-        chosen = [self._send_segment(route, s, now) for s in first]
+        chosen = [self._dispatcher.send(route, s, now) for s in first]
         _DECISIONS.info(
             "query routed",
             extra={
@@ -218,7 +214,7 @@
             # It waits for a target of its own, so lateness means nothing.
             return [canary]
         delay = canaries.find_release_delay(route.deadline - now)
-        self._timers.add(now + delay, _RELEASE, route.query.query_id, 0)
+        self._timers.add(now + delay, _timers.RELEASE, route.query.query_id, 0)
         return [canary]
 
     def _follow_canary(self, route: _route.Route, now: float) -> None:
@@ -244,7 +240,7 @@
             return
         following = route.waiting.pop()
         following.alone = True
-        self._send_segment(route, following, now)
+        self._dispatcher.send(route, following, now)
         self._finish_if_settled(route, now)
 
     def _is_suspect(self, route: _route.Route) -> bool:
@@ -259,80 +255,23 @@
         """Sends the segments that waited for the first target's answer."""
         waiting, route.waiting = route.waiting, []
         for segment in waiting:
-            self._send_segment(route, segment, now)
+            self._dispatcher.send(route, segment, now)
         self._finish_if_settled(route, now)
 
-    def _send_segment(
-        self, route: _route.Route, segment: _route.Segment, now: float
-    ) -> tuple[str, str] | None:
-        """Makes the next attempt; returns target and owner, or None.
-
-        A segment without a usable target and owner is given up, unless an
-        attempt is still open.
-        """
-        choice = self._sender.choose(segment, now)
-        if choice is None:
-            if not segment.list_open():
-                route.give_up(segment)
-            return None
-        first = not segment.attempts
-        self._sender.send(route, segment, choice, now)
-        if first:
-            self._hedges.earn()
-            self._retries.earn()
-            self._plan_hedge(route, segment, now)
-            self._send_trial(route, segment, now)
-        return choice
-
-    def _send_trial(
-        self, route: _route.Route, segment: _route.Segment, now: float
-    ) -> None:
-        """Asks an avoided target beside the chosen one, from the hedge budget.
-
-        The query does not wait for it, and the target is used again once it
-        answers first.
-        """
-        trusted = self._trusted.has(route.fingerprint)
-        if not route.lookup.idempotent or not trusted:
-            return
-        others = [t for t in segment.plan.candidates if t not in segment.tried]
-        target = self._view.find_trial(others, now)
-        if target is None:
-            return
-        choice = self._sender.choose_owner(segment, target, now)
-        if choice is None or not self._hedges.spend():
-            return
-        self._sender.send(route, segment, choice, now)
-        self.counters["hedges"] += 1
-        _log_attempt("segment hedged", route, segment, choice, "trial")
-
-    def _plan_hedge(
-        self, route: _route.Route, segment: _route.Segment, now: float
-    ) -> None:
-        if not route.lookup.idempotent or len(segment.plan.candidates) < 2:
-            return
-        delay = hedging.find_hedge_delay(
-            self._view.service_latency[segment.plan.service],
-            self._view.declaration.hedge_percentile,
-        )
-        if delay is not None and now + delay < route.deadline:
-            index = route.segments.index(segment)
-            self._timers.add(now + delay, _HEDGE, route.query.query_id, index)
-
     # Timers.
 
     def _serve_timer(
         self, kind: str, query_id: str, index: int, now: float
     ) -> None:
-        if kind == _FORGET:
+        if kind == _timers.FORGET:
             self._tickets.forget(index)
             return
         route = self.table("routes").get(query_id)
         if route is None:
             return
-        if kind == _FINISH:
+        if kind == _timers.FINISH:
             self._finish(route)
-        elif kind == _RELEASE:
+        elif kind == _timers.RELEASE:
             self._follow_canary(route, now)
         elif index < len(route.segments):
             self._serve_segment_timer(kind, route, route.segments[index], now)
@@ -344,29 +283,11 @@
         segment: _route.Segment,
         now: float,
     ) -> None:
-        if kind == _HEDGE:
-            self._hedge(route, segment, now)
-            return
-        if segment.retry_pending and not segment.settled:
-            segment.retry_pending = False
-            self._send_segment(route, segment, now)
-            self._finish_if_settled(route, now)
-
-    def _hedge(
-        self, route: _route.Route, segment: _route.Segment, now: float
-    ) -> None:
-        """Asks another replica as well when the first one is slow."""
-        if segment.settled or segment.suspect or len(segment.attempts) != 1:
-            return
-        first = segment.attempts[0]
-        self._view.judge_silence(first.owner, first.sent_at, now)
-        if not self._hedges.spend():
-            return
-        choice = self._send_segment(route, segment, now)
-        if choice is None:
+        if kind == _timers.HEDGE:
+            self._dispatcher.serve_hedge(route, segment, now)
             return
-        self.counters["hedges"] += 1
-        _log_attempt("segment hedged", route, segment, choice, "slow")
+        self._dispatcher.serve_retry(route, segment, now)
+        self._finish_if_settled(route, now)
 
     # Replies.
 
@@ -429,43 +350,15 @@
         segment.note_failure(reply)
         if segment.suspect:
             self._trusted.remove(route.fingerprint)
-        if segment.list_open() or self._retry(route, segment, reply, now):
+        if segment.list_open() or self._dispatcher.retry(
+            route, segment, reply, now
+        ):
             return
         moved = segment.wrong_snapshot and segment.plan.known
         if moved and self._restart(route, now):
             return
         route.give_up(segment)
 
-    def _retry(
-        self,
-        route: _route.Route,
-        segment: _route.Segment,
-        reply: replies.SubReply,
-        now: float,
-    ) -> bool:
-        """Makes or schedules one more attempt; returns whether it did."""
-        if not retries.may_repeat(reply, idempotent=route.lookup.idempotent):
-            return False
-        free = retries.is_free(reply)
-        if not free and len(segment.attempts) > retries.MOST_EXTRA_ATTEMPTS:
-            return False
-        choice = self._sender.choose(segment, now)
-        due = retries.find_retry_time(
-            reply, has_choice=choice is not None, now=now
-        )
-        if due is None or due >= route.deadline:
-            return False
-        if not free and not self._retries.spend():
-            return False
-        self.counters["retries"] += 1
-        if due > now:
-            segment.schedule_retry()
-            index = route.segments.index(segment)
-            self._timers.add(due, _RETRY, route.query.query_id, index)
-            return True
-        _log_attempt("segment retried", route, segment, choice, reply.code)
-        return self._send_segment(route, segment, now) is not None
-
     def _restart(self, route: _route.Route, now: float) -> bool:
         """Starts the whole query again on a newer snapshot, if there is one."""
         total = route.query.deadline - route.query.received_at
@@ -501,7 +394,7 @@
                 return
             # The same request may have crashed the target for another host.
             due = now + _NOTICE_S
-            self._timers.add(due, _RELEASE, route.query.query_id, 0)
+            self._timers.add(due, _timers.RELEASE, route.query.query_id, 0)
 
     def _finish(self, route: _route.Route) -> None:
         """Answers with what has been read."""
@@ -547,22 +440,3 @@
                 "detail": answer.detail,
             },
         )
-
-
-def _log_attempt(
-    message: str,
-    route: _route.Route,
-    segment: _route.Segment,
-    choice: tuple[str, str],
-    reason: str,
-) -> None:
-    _DECISIONS.info(
-        message,
-        extra={
-            "query": route.query.query_id,
-            "service": segment.plan.service,
-            "target": choice[0],
-            "owner": choice[1],
-            "reason": reason,
-        },
-    )
