Pass on what only an undeclared host knows; fix the examples of tests

Cause: test_hosts_only_move_upward_and_agree_in_the_end found that a revision read by a host that is not declared, before the platform went back, was never offered: that host has no place in the relay tree and gets no heartbeats. Change: such a host offers its revision to every peer. The case is an example of the test. Conclusion: an accepted configuration reaches the fleet from any host.

--- a/src/bramleyfork/controllers/_announcer.py
+++ b/src/bramleyfork/controllers/_announcer.py
@@ -43,15 +43,22 @@
             self.next_at = now + _ASK_INTERVAL_S
             # Revision 0, of a starting host, asks peers to tell theirs.
             self.offer(messages.EVERY_PEER, version)
-        elif watching:
+        elif watching or not self._tree.is_declared:
             self.relay(version, now)
         else:
             self.next_at = now + _OFFER_INTERVAL_S
 
     def relay(self, version: revisions.Version, now: float) -> None:
-        """Offers a version to the hosts below this one."""
+        """Offers a version to the hosts below this one.
+
+        A host that is not declared has no place in the tree and gets no
+        heartbeats, so what only it knows goes to every peer.
+        """
         self.next_at = now + _OFFER_INTERVAL_S
         self._relayed_at = now
+        if not self._tree.is_declared:
+            self.offer(messages.EVERY_PEER, version)
+            return
         for host in self._tree.list_children():
             self.offer(host, version)
 
--- a/src/bramleyfork/controllers/_tree.py
+++ b/src/bramleyfork/controllers/_tree.py
@@ -44,6 +44,11 @@
             self._hosts = hosts
             self.ranked = revisions.rank_watchers(hosts.values())
 
+    @property
+    def is_declared(self) -> bool:
+        """Whether this host is among the declared ones."""
+        return self._host in self._hosts
+
     def choose_watchers(self) -> frozenset[str]:
         """Returns the hosts that hold the watch on the platform now."""
         return revisions.choose_watchers(self.ranked, self._gone)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,13 @@
 
 import pathlib
 
+import hypothesis
 import pytest
 
+# The same examples in every run, so that the verdict is the same.
+hypothesis.settings.register_profile("fixed", derandomize=True)
+hypothesis.settings.load_profile("fixed")
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
--- a/tests/controllers/test_controllers_configuration_network.py
+++ b/tests/controllers/test_controllers_configuration_network.py
@@ -53,7 +53,18 @@
 )
 
 
+# What only a host that is not declared (h3) had read was never passed on.
+LOST_ON_H3 = [
+    ("publish", 1, 0),
+    ("publish", 2, 2),
+    ("run", "h3", False, False),
+    ("run", "h3", True, False),
+    ("publish", 1, 2),
+]
+
+
 @hypothesis.settings(max_examples=25, deadline=None)
+@hypothesis.example(LOST_ON_H3)
 @hypothesis.given(st.lists(EVENT, min_size=5, max_size=60))
 def test_hosts_only_move_upward_and_agree_in_the_end(events):
     # H10 under lost messages, an absent platform and two operators.
