--- a/src/bramleyfork/controllers/_owned_target.py
+++ b/src/bramleyfork/controllers/_owned_target.py
@@ -61,22 +61,27 @@
         self.latency = latencies.LatencyWindow()
         self._report_key: tuple | None = None
 
-    def change_share(self, share: shares.Share, now: float) -> None:
+    def change_share(self, share: shares.Share, now: float) -> bool:
         """Gives up what is lost at once and books what is gained.
 
         A gain that was booked before and is still part of the share keeps its
         time. Otherwise a fleet whose configuration changes more often than
         the delay would never take up a share.
+
+        Returns:
+          Whether the share differs from the one held or booked so far.
         """
         self.take_up_share(now)
         booked = self.gained_share
+        changed = share != (booked or self.share)
         self._use_share(shares.intersect_shares(self.share, share))
         self.gained_share = None
         if share == self.share:
-            return
+            return changed
         self.gained_share = share
         if booked is None or shares.intersect_shares(booked, share) != share:
             self.gained_at = now + shares.GAIN_DELAY_S
+        return changed
 
     def take_up_share(self, now: float) -> None:
         """Takes up a gained share once its delay has passed."""
--- a/src/bramleyfork/controllers/configuration.py
+++ b/src/bramleyfork/controllers/configuration.py
@@ -168,8 +168,6 @@
             reason = candidates.describe_wrong_part(candidate, key, body)
         self._drop_source(reason, now)
 
-    # Messages of peers.
-
     def _take_message(self, received: messages.Received, now: float) -> None:
         if received.sender in self._watchers:
             self._last_word = now
--- a/src/bramleyfork/controllers/ownership.py
+++ b/src/bramleyfork/controllers/ownership.py
@@ -1,10 +1,12 @@
 """Sends sub-requests to the targets that this host has a share of."""
 
+import collections
 import logging
 import zlib
 
 from bramleyfork.configuration import settings as settings_module
 from bramleyfork.controllers import _owned_target
+from bramleyfork.controllers import _share_finder
 from bramleyfork.core import controllers
 from bramleyfork.core import declarations
 from bramleyfork.core import fleet
@@ -14,7 +16,6 @@
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import admission
 from bramleyfork.decisions import lease as lease_decisions
-from bramleyfork.decisions import ranking
 from bramleyfork.decisions import shares
 from bramleyfork.decisions import warmup
 
@@ -48,21 +49,21 @@
     """Queues, paces and sends sub-requests; answers their routers."""
 
     __slots__ = (
-        "_declaration",
-        "_ranking",
+        "counters",
+        "_shares",
         "_owned",
         "_running",
         "_busy",
         "_replies",
-        "_started",
     )
 
     settings: settings_module.Settings
 
     def start(self) -> None:
         """Sets up empty state."""
-        self._declaration: declarations.Declaration | None = None
-        self._ranking = ranking.Ranking()
+        # Replies to routers by code; "queue_full" counts what was shed here.
+        self.counters = {"replies": collections.Counter()}
+        self._shares = _share_finder.ShareFinder(host=self.settings.host)
         self._owned: dict[str, _owned_target.OwnedTarget] = {}
         self._running: dict[str, str] = {}  # Attempt id to target.
         self._busy: set[str] = set()  # Targets with queued sub-requests.
@@ -85,37 +86,15 @@
 
     def _follow_declaration(self, now: float) -> None:
         entry = self.table("declaration").get("in_force")
-        if entry is None or entry.declaration is self._declaration:
+        if entry is None or entry.declaration is self._shares.declaration:
             return
-        before, declaration = self._declaration, entry.declaration
-        self._declaration = declaration
-        centres = self._ranking.use_declaration(declaration)
-        for target in ranking.list_touched(before, declaration, centres):
-            self._update_share(target, before is None, now)
-        for name in self._owned.keys() - declaration.targets.keys():
+        for target in self._shares.use_declaration(entry.declaration):
+            self._update_share(target, now)
+        for name in self._owned.keys() - entry.declaration.targets.keys():
             self._drop_target(name, now)
 
-    def _find_share(self, target: declarations.Target) -> shares.Share:
-        declaration = self._declaration
-        own = declaration.hosts.get(self.settings.host)
-        if own is None:
-            return shares.NO_SHARE
-        rank = shares.OWNERS
-        if self._ranking.may_own(own, target.data_centre):
-            owners = self._ranking.find_owners(target)
-            if own.name in owners:
-                rank = owners.index(own.name)
-        return shares.compute_share(
-            service=declaration.services[target.service],
-            strategy=declaration.strategy,
-            rank=rank,
-            host_count=len(declaration.hosts),
-        )
-
-    def _update_share(
-        self, target: declarations.Target, first: bool, now: float
-    ) -> None:
-        share = self._find_share(target)
+    def _update_share(self, target: declarations.Target, now: float) -> None:
+        share = self._shares.find_share(target)
         owned = self._owned.get(target.name)
         if owned is None and share == shares.NO_SHARE:
             return
@@ -124,16 +103,14 @@
             self._owned[target.name] = owned
             self.writer("owned").put(target.name, owned)
         owned.address = target.address
-        owned.service = self._declaration.services[target.service]
-        owned.change_share(share, now)
-        if not first:
-            return
-        # The process before this one on this host may have requests running,
-        # so a starting process waits as for a gained share.
-        _DECISIONS.info(
-            "share assigned",
-            extra={"target": target.name, "in_flight": share.in_flight},
-        )
+        owned.service = self._shares.declaration.services[target.service]
+        # This holds for a starting process too, as the process before it on
+        # this host may have requests running.
+        if owned.change_share(share, now):
+            _DECISIONS.info(
+                "share changed",
+                extra={"target": target.name, "in_flight": share.in_flight},
+            )
 
     def _drop_target(self, name: str, now: float) -> None:
         owned = self._owned[name]
@@ -283,8 +260,8 @@
                     fingerprint=request.fingerprint, target=name
                 )
             )
-        self._replies.append(_build_reply(request, result, len(owned.queue)))
-        if name not in self._declaration.targets and not owned.in_flight:
+        self._answer(_build_reply(request, result, len(owned.queue)))
+        if name not in self._shares.declaration.targets and not owned.in_flight:
             del self._owned[name]
             self.writer("owned").remove(name)
 
@@ -346,6 +323,10 @@
                 )
             )
 
+    def _answer(self, reply: replies.SubReply) -> None:
+        self.counters["replies"][reply.code] += 1
+        self._replies.append(reply)
+
     def _refuse(
         self, request: requests.SubRequest, code: str, now: float
     ) -> None:
@@ -360,7 +341,7 @@
                 owned.service.slots,
                 zlib.crc32(request.query_id.encode()) % 1000 / 1000,
             )
-        self._replies.append(
+        self._answer(
             replies.SubReply(
                 attempt_id=request.attempt_id,
                 query_id=request.query_id,
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -3,6 +3,7 @@
 import logging
 
 from bramleyfork.configuration import settings as settings_module
+from bramleyfork.controllers import _canary
 from bramleyfork.controllers import _dispatch
 from bramleyfork.controllers import _fleet_view
 from bramleyfork.controllers import _route
@@ -28,8 +29,6 @@
 _ANSWER_MARGIN_S = 0.01
 # Time for a notice that a target died to come from the host that saw it.
 _NOTICE_S = 0.05
-# A suspect goes to no other service once so many targets of one died with it.
-_DEATH_LIMIT = 2
 # Part of the deadline that must be left to start again on a newer snapshot.
 _RESTART_PART = 0.5
 
@@ -52,6 +51,7 @@
         "_timers",
         "_trusted",
         "_dispatcher",
+        "_gate",
         "_answers",
     )
 
@@ -85,6 +85,12 @@
             trusted=self._trusted,
             counters=self.counters,
         )
+        self._gate = _canary.CanaryGate(
+            dispatcher=self._dispatcher,
+            timers=self._timers,
+            trusted=self._trusted,
+            quarantine=self.table("quarantine"),
+        )
         self._answers: list[replies.Answer] = []
 
     def step(self, now: float) -> float | None:
@@ -180,7 +186,7 @@
             route.detail = "no target holds any of the wanted keys"
             self._finish(route)
             return
-        first = self._hold_back(route, now)
+        first = self._gate.hold_back(route, now)
         chosen = [self._dispatcher.send(route, s, now) for s in first]
         _DECISIONS.info(
             "query routed",
@@ -195,69 +201,6 @@
         )
         self._finish_if_settled(route, now)
 
-    def _hold_back(
-        self, route: _route.Route, now: float
-    ) -> list[_route.Segment]:
-        """Returns the segments to send at once.
-
-        A request that has not completed here before goes to one target first,
-        so that one that crashes targets does not reach them all at once.
-        """
-        suspect = self._is_suspect(route)
-        known_good = self._trusted.has(route.fingerprint) and not suspect
-        if len(route.segments) == 1 or known_good:
-            return route.segments
-        index = canaries.choose_segment(route.fingerprint, len(route.segments))
-        canary = route.segments[index]
-        route.waiting = [s for s in route.segments if s is not canary]
-        if suspect:
-            # It waits for a target of its own, so lateness means nothing.
-            return [canary]
-        delay = canaries.find_release_delay(route.deadline - now)
-        self._timers.add(now + delay, _timers.RELEASE, route.query.query_id, 0)
-        return [canary]
-
-    def _follow_canary(self, route: _route.Route, now: float) -> None:
-        """Goes on when the first target was late or could not be read.
-
-        Another host may have sent the same request meanwhile and have lost a
-        target to it, so the segments of a suspect are sent one by one.
-        """
-        if not route.waiting:
-            return
-        if not self._is_suspect(route):
-            self._release(route, now)
-            return
-        if route.unsettled != len(route.waiting):
-            return
-        deaths = intake.count_deaths(
-            route.fingerprint,
-            route.lookup.services,
-            self.table("quarantine").copy_records(),
-        )
-        if deaths >= _DEATH_LIMIT:
-            self._finish(route)
-            return
-        following = route.waiting.pop()
-        following.alone = True
-        self._dispatcher.send(route, following, now)
-        self._finish_if_settled(route, now)
-
-    def _is_suspect(self, route: _route.Route) -> bool:
-        """Returns whether a target died with this request in flight."""
-        return route.has_suspect() or intake.has_entry(
-            route.fingerprint,
-            route.lookup.services,
-            self.table("quarantine").copy_records(),
-        )
-
-    def _release(self, route: _route.Route, now: float) -> None:
-        """Sends the segments that waited for the first target's answer."""
-        waiting, route.waiting = route.waiting, []
-        for segment in waiting:
-            self._dispatcher.send(route, segment, now)
-        self._finish_if_settled(route, now)
-
     # Timers.
 
     def _serve_timer(
@@ -276,6 +219,12 @@
         elif index < len(route.segments):
             self._serve_segment_timer(kind, route, route.segments[index], now)
 
+    def _follow_canary(self, route: _route.Route, now: float) -> None:
+        if not self._gate.follow(route, now):
+            self._finish(route)
+            return
+        self._finish_if_settled(route, now)
+
     def _serve_segment_timer(
         self,
         kind: str,
@@ -334,7 +283,7 @@
             self._view.note_lost(attempt.target, elapsed_s, now)
         self._sender.cancel_open(segment)
         if route.waiting:
-            self._release(route, now)
+            self._gate.release(route, now)
 
     def _take_failure(
         self,
