Write logs from a thread of their own

Cause: log lines were written by the thread that logged. A reader of the log that stands still blocks the pipe and with it the request loop. Change: lines go through a bounded queue to one writing thread; what exceeds it is dropped and counted in the metrics. Before: a blocked stream blocked the caller.

--- a/src/bramleyfork/daemon.py
+++ b/src/bramleyfork/daemon.py
@@ -39,7 +39,7 @@
 
     Args:
       settings: Checked settings.
-      recent: Handler that keeps recent decisions.
+      handlers: Log handlers that are observed.
       clock: Source of monotonic time.
     """
 
@@ -57,7 +57,7 @@
         self,
         *,
         settings: settings_module.Settings,
-        recent: logs.RecentDecisions,
+        handlers: logs.Handlers,
         clock: clocks.Clock,
     ):
         self._clock = clock
@@ -86,7 +86,8 @@
         self.board.grant_writer("instruments", "process").put(
             "current",
             instruments.collect_instruments(
-                recent, [*members, *self._transports]
+                handlers.recent,
+                [*members, *self._transports, handlers.queue],
             ),
         )
 
@@ -136,13 +137,13 @@
         return _EXIT_SETTINGS
     settings = loaded.ok
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
-    recent = logs.set_up_logging(
+    handlers = logs.set_up_logging(
         level=settings.log_level, stream=sys.stderr, host=settings.host
     )
     catalogues.load_modules(controller_package)
     catalogues.load_modules(transport_package)
     daemon = Daemon(
-        settings=settings, recent=recent, clock=clocks.SystemClock()
+        settings=settings, handlers=handlers, clock=clocks.SystemClock()
     )
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: daemon.request_stop())
