--- /dev/null
+++ b/tests/test_proofs.py
@@ -0,0 +1,32 @@
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_every_scenario_named_on_the_page_exists():
+    # Guards against a page that claims proofs which are not run.
+    page = (ROOT / "docs" / "proofs.md").read_text()
+    named = set(re.findall(r"`(test_\w+\.py::\w+)", page))
+    listed = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "pytest",
+            "--collect-only",
+            "-q",
+            "-o",
+            "addopts=--import-mode=importlib",
+            "tests/scenarios",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=60,
+    ).stdout
+    existing = set(re.findall(r"(test_\w+\.py::\w+)", listed))
+    assert named
+    assert named <= existing, sorted(named - existing)
