--- a/src/bramleyfork/controllers/configuration.py
+++ b/src/bramleyfork/controllers/configuration.py
@@ -6,7 +6,7 @@
 from bramleyfork.configuration import manifests
 from bramleyfork.controllers import _announcer
 from bramleyfork.controllers import _tree
-from bramleyfork.controllers import declaration_table
+from bramleyfork.controllers import _declaration_table
 from bramleyfork.core import checks
 from bramleyfork.core import controllers
 from bramleyfork.core import declarations
@@ -77,7 +77,7 @@
         self._announcer = _announcer.Announcer(
             tree=self._tree, writer=self.writer("configuration_out")
         )
-        self._table = declaration_table.DeclarationTable(
+        self._table = _declaration_table.DeclarationTable(
             table=self.table("declaration"),
             writer=self.writer("declaration"),
         )
--- a/src/bramleyfork/controllers/membership.py
+++ b/src/bramleyfork/controllers/membership.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from bramleyfork.controllers import member_table
+from bramleyfork.controllers import _member_table
 from bramleyfork.core import controllers
 from bramleyfork.core import declarations
 from bramleyfork.core import fleet
@@ -64,7 +64,7 @@
         """Sets up state before the first step."""
         host, incarnation = self.settings.host, self.settings.incarnation
         self._random = random.Random(f"{host} {incarnation}")
-        self._beliefs = member_table.MemberTable(
+        self._beliefs = _member_table.MemberTable(
             host=host,
             incarnation=incarnation,
             table=self.table("members"),
