--- a/src/bramleyfork/controllers/configuration.py
+++ b/src/bramleyfork/controllers/configuration.py
@@ -5,8 +5,8 @@
 
 from bramleyfork.configuration import manifests
 from bramleyfork.controllers import _announcer
-from bramleyfork.controllers import _tree
 from bramleyfork.controllers import _declaration_table
+from bramleyfork.controllers import _tree
 from bramleyfork.core import checks
 from bramleyfork.core import controllers
 from bramleyfork.core import declarations
