--- a/tests/commands/test_hosts.py
+++ b/tests/commands/test_hosts.py
@@ -1,5 +1,4 @@
 import pytest
-from tests import boards
 
 from bramleyfork.commands import clients
 from bramleyfork.commands import hosts
@@ -8,6 +7,7 @@
 from bramleyfork.core import fleet
 from bramleyfork.transports import administration
 from bramleyfork.transports import callers
+from tests import boards
 
 
 @pytest.fixture(scope="module")
--- a/tests/controllers/test_controllers_configuration.py
+++ b/tests/controllers/test_controllers_configuration.py
@@ -1,11 +1,11 @@
 import itertools
 
 import pytest
-from tests.controllers import configuration_rig
 
 from bramleyfork.configuration import manifests
 from bramleyfork.core import fleet
 from bramleyfork.core import messages
+from tests.controllers import configuration_rig
 
 
 def create_offer(bodies, to="h1"):
--- a/tests/controllers/test_controllers_configuration_network.py
+++ b/tests/controllers/test_controllers_configuration_network.py
@@ -1,8 +1,8 @@
 import hypothesis
 from hypothesis import strategies as st
-from tests.controllers import configuration_rig
 
 from bramleyfork.core import messages
+from tests.controllers import configuration_rig
 
 
 class Network:
--- a/tests/controllers/test_controllers_placement.py
+++ b/tests/controllers/test_controllers_placement.py
@@ -1,11 +1,10 @@
 import logging
 import math
 
-from tests import boards
-
 from bramleyfork.controllers import placement
 from bramleyfork.core import fleet
 from bramleyfork.core import logs
+from tests import boards
 
 
 def create_placement(fed, expires_at=math.inf, phase="serving"):
--- a/tests/controllers/test_controllers_targets.py
+++ b/tests/controllers/test_controllers_targets.py
@@ -1,11 +1,11 @@
 import pytest
-from tests import boards
 
 from bramleyfork.controllers import targets
 from bramleyfork.core import fleet
 from bramleyfork.core import messages
 from bramleyfork.core import requests
 from bramleyfork.decisions import targets as decisions
+from tests import boards
 
 
 def create_controller():
--- a/tests/controllers/test_lifecycle.py
+++ b/tests/controllers/test_lifecycle.py
@@ -1,11 +1,11 @@
 import types
 
 import pytest
-from tests import boards
 
 from bramleyfork.controllers import lifecycle
 from bramleyfork.core import fleet
 from bramleyfork.decisions import shares
+from tests import boards
 
 
 def create_controller(fed):
--- a/tests/controllers/test_ownership.py
+++ b/tests/controllers/test_ownership.py
@@ -1,5 +1,4 @@
 import pytest
-from tests import creators
 
 from bramleyfork.controllers import ownership
 from bramleyfork.core import fleet
@@ -7,6 +6,7 @@
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import shares
+from tests import creators
 
 NOW = 1000.0
 READY = NOW + shares.GAIN_DELAY_S
--- a/tests/controllers/test_routing.py
+++ b/tests/controllers/test_routing.py
@@ -1,5 +1,4 @@
 import pytest
-from tests import creators
 
 from bramleyfork.controllers import routing
 from bramleyfork.core import fleet
@@ -8,6 +7,7 @@
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import tickets
+from tests import creators
 
 NOW = 1000.0
 NEWER = requests.Snapshot(index_version=42, map_version=7)
--- a/tests/decisions/test_coverage.py
+++ b/tests/decisions/test_coverage.py
@@ -1,8 +1,8 @@
 import pytest
-from tests import creators
 
 from bramleyfork.core import ranges
 from bramleyfork.decisions import coverage
+from tests import creators
 
 ASKED = {"s": ranges.FULL_RANGE, "t": ranges.FULL_RANGE}
 
--- a/tests/decisions/test_decisions_placement.py
+++ b/tests/decisions/test_decisions_placement.py
@@ -1,10 +1,10 @@
 import collections
 
 import pytest
-from tests import boards
 
 from bramleyfork.core import fleet
 from bramleyfork.decisions import placement
+from tests import boards
 
 DECLARATION = boards.create_declaration()
 
--- a/tests/decisions/test_queues.py
+++ b/tests/decisions/test_queues.py
@@ -1,6 +1,5 @@
-from tests import creators
-
 from bramleyfork.decisions import queues
+from tests import creators
 
 
 def create_queue(*entries, limit=100):
--- a/tests/decisions/test_ranking.py
+++ b/tests/decisions/test_ranking.py
@@ -1,11 +1,11 @@
 import hypothesis
 from hypothesis import strategies
 import pytest
-from tests import creators
 
 from bramleyfork.core import declarations
 from bramleyfork.decisions import ranking
 from bramleyfork.decisions import shares
+from tests import creators
 
 CENTRES = ("a", "b", "c", "d")
 REGIONS = ("one", "one", "two", "two")
--- a/tests/decisions/test_shares.py
+++ b/tests/decisions/test_shares.py
@@ -1,11 +1,11 @@
 import hypothesis
 from hypothesis import strategies
 import pytest
-from tests import creators
 
 from bramleyfork.configuration import declared_options
 from bramleyfork.decisions import replicas
 from bramleyfork.decisions import shares
+from tests import creators
 
 
 @pytest.mark.parametrize("strategy", shares.STRATEGIES.list_names())
--- a/tests/decisions/test_snapshots.py
+++ b/tests/decisions/test_snapshots.py
@@ -1,10 +1,10 @@
 import hypothesis
 from hypothesis import strategies
-from tests import creators
 
 from bramleyfork.core import ranges
 from bramleyfork.core import requests
 from bramleyfork.decisions import snapshots
+from tests import creators
 
 OLD = requests.Snapshot(index_version=1, map_version=1)
 NEW = requests.Snapshot(index_version=2, map_version=1)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -11,11 +11,12 @@
 import threading
 import time
 
-from bench import checks
-from bench import fleet as fleet_module
 import pytest
 import pytest_bdd
 
+from bench import checks
+from bench import fleet as fleet_module
+
 # Longest wait for something that is promised within seconds, on a slow machine.
 PATIENCE_S = 10.0
 
--- a/tests/scenarios/fleet_seats.py
+++ b/tests/scenarios/fleet_seats.py
@@ -4,6 +4,7 @@
 import threading
 
 import pytest_bdd
+
 from tests.scenarios import fleet_promises
 
 parse = pytest_bdd.parsers.parse
--- a/tests/scenarios/fleet_steps.py
+++ b/tests/scenarios/fleet_steps.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import fleet_promises
 
 parse = pytest_bdd.parsers.parse
--- a/tests/scenarios/test_answer_callers.py
+++ b/tests/scenarios/test_answer_callers.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import answer_threads
 
 pytest_bdd.scenarios("answer_callers.feature")
--- a/tests/scenarios/test_answer_cold.py
+++ b/tests/scenarios/test_answer_cold.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import conftest
 
 pytest_bdd.scenarios("answer_cold.feature")
--- a/tests/scenarios/test_answer_crash.py
+++ b/tests/scenarios/test_answer_crash.py
@@ -3,6 +3,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import answer_threads
 
 pytest_bdd.scenarios("answer_crash.feature")
--- a/tests/scenarios/test_answer_once.py
+++ b/tests/scenarios/test_answer_once.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import answer_threads
 
 pytest_bdd.scenarios("answer_once.feature")
--- a/tests/scenarios/test_fleet_centres.py
+++ b/tests/scenarios/test_fleet_centres.py
@@ -2,6 +2,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import fleet_promises
 
 pytest_plugins = ["tests.scenarios.fleet_steps"]
--- a/tests/scenarios/test_fleet_configuration.py
+++ b/tests/scenarios/test_fleet_configuration.py
@@ -1,9 +1,9 @@
 import time
 
 import pytest_bdd
-from tests.scenarios import fleet_promises
 
 from bramleyfork.configuration import manifests
+from tests.scenarios import fleet_promises
 
 pytest_plugins = ["tests.scenarios.fleet_steps"]
 
--- a/tests/scenarios/test_fleet_platform.py
+++ b/tests/scenarios/test_fleet_platform.py
@@ -2,9 +2,9 @@
 import time
 
 import pytest_bdd
-from tests.scenarios import fleet_promises
 
 from bramleyfork.decisions import pacing
+from tests.scenarios import fleet_promises
 
 pytest_plugins = ["tests.scenarios.fleet_steps"]
 
--- a/tests/scenarios/test_fleet_split.py
+++ b/tests/scenarios/test_fleet_split.py
@@ -2,6 +2,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import fleet_promises
 
 pytest_plugins = [
--- a/tests/scenarios/test_fleet_targets.py
+++ b/tests/scenarios/test_fleet_targets.py
@@ -1,6 +1,7 @@
 import time
 
 import pytest_bdd
+
 from tests.scenarios import fleet_promises
 
 pytest_plugins = ["tests.scenarios.fleet_steps"]
--- a/tests/transports/test_administration.py
+++ b/tests/transports/test_administration.py
@@ -2,7 +2,6 @@
 import math
 
 import pytest
-from tests import boards
 import urllib3
 
 from bramleyfork.core import clocks
@@ -15,6 +14,7 @@
 from bramleyfork.core import verdicts
 from bramleyfork.transports import administration
 from bramleyfork.transports import metrics
+from tests import boards
 
 
 class Part:
--- a/tests/transports/test_callers.py
+++ b/tests/transports/test_callers.py
@@ -5,7 +5,6 @@
 import threading
 
 import pytest
-from tests import boards
 import urllib3
 
 from bramleyfork.core import clocks
@@ -14,6 +13,7 @@
 from bramleyfork.core import verdicts
 from bramleyfork.decisions import tickets
 from bramleyfork.transports import callers
+from tests import boards
 
 VALID = {"lookup": "availability", "deadline_ms": 1500}
 
--- a/tests/transports/test_checker.py
+++ b/tests/transports/test_checker.py
@@ -1,12 +1,12 @@
 import threading
 
 import pytest
-from tests import boards
 
 from bramleyfork.configuration import declaration
 from bramleyfork.core import checks
 from bramleyfork.core import clocks
 from bramleyfork.transports import checker
+from tests import boards
 
 
 @pytest.fixture
--- a/tests/transports/test_transports_targets.py
+++ b/tests/transports/test_transports_targets.py
@@ -5,8 +5,6 @@
 import threading
 
 import pytest
-from tests import boards
-from tests import creators
 
 from bramleyfork.core import clocks
 from bramleyfork.core import fleet
@@ -14,6 +12,8 @@
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
 from bramleyfork.transports import targets
+from tests import boards
+from tests import creators
 
 PATIENCE_S = 5.0
 NOT_RUN = verdicts.Verdict.NOT_RUN
