Wait for a target's work before it leaves in the scenario

Change: the step waits for the first request. Nothing is checked less. Conclusion: the check of absence has its presence before it.

--- a/tests/scenarios/test_fleet_targets.py
+++ b/tests/scenarios/test_fleet_targets.py
@@ -24,6 +24,11 @@
 
 @pytest_bdd.when(parse('target "{target}" leaves by {word}'))
 def leave(running, target, word):
+    # Without work before, its absence afterwards would show nothing.
+    running.wait_until(
+        lambda: fleet_promises.list_arrivals(running, [target], 0.0),
+        f"work for {target}",
+    )
     running.marks["left"] = time.time()
     WORDS[word](running, target)
 
