Decode holdings in one place

Cause: two codecs had a decoder of the same rows, one of which took numbers in text and fractions. Change: codecs.holdings serves both, with the strict check. Before and after: the tests of codecs and transports pass. Conclusion: targets and the platform's list are read alike.

--- a/src/bramleyfork/codecs/headers.py
+++ b/src/bramleyfork/codecs/headers.py
@@ -4,6 +4,7 @@
 import json
 import typing
 
+from bramleyfork.codecs import holdings as holdings_codec
 from bramleyfork.core import ranges
 from bramleyfork.core import replies
 from bramleyfork.core import requests
@@ -131,7 +132,8 @@
     try:
         load = float(headers.get("target-load", "0"))
         holdings = tuple(
-            parse_holding(row) for row in content.get("holdings", ())
+            holdings_codec.decode_holding(row)
+            for row in content.get("holdings", ())
         )
     except (TypeError, ValueError) as error:
         raise ReplyError(f"report is not readable: {error}") from error
@@ -143,21 +145,6 @@
     )
 
 
-def parse_holding(row: collections.abc.Sequence[int]) -> requests.Holding:
-    """Returns a holding from [index_version, map_version, low, high].
-
-    Raises:
-      ValueError: The row has another shape or values out of range.
-    """
-    index_version, map_version, low, high = row
-    return requests.Holding(
-        snapshot=requests.Snapshot(
-            index_version=int(index_version), map_version=int(map_version)
-        ),
-        key_range=ranges.KeyRange(low=int(low), high=int(high)),
-    )
-
-
 def _decode_records(
     request: requests.SubRequest,
     content: dict[str, typing.Any],
--- a/src/bramleyfork/codecs/listings.py
+++ b/src/bramleyfork/codecs/listings.py
@@ -5,9 +5,8 @@
 
 import expression
 
+from bramleyfork.codecs import holdings as holdings_codec
 from bramleyfork.core import fleet
-from bramleyfork.core import ranges
-from bramleyfork.core import requests
 
 _STATES = ("live", "leaving")
 
@@ -37,17 +36,7 @@
         raise ValueError(f"name {name!r} is not a string")
     if state not in _STATES:
         raise ValueError(f"state {state!r} of {name!r} is not one of {_STATES}")
-    holdings = tuple(_decode_holding(holding) for holding in row["holdings"])
-    return fleet.Listed(target=name, state=state, holdings=holdings)
-
-
-def _decode_holding(fields: typing.Any) -> requests.Holding:
-    if not isinstance(fields, list) or any(type(f) is not int for f in fields):
-        raise ValueError(f"holding {fields!r} is not an array of integers")
-    index_version, map_version, low, high = fields
-    return requests.Holding(
-        snapshot=requests.Snapshot(
-            index_version=index_version, map_version=map_version
-        ),
-        key_range=ranges.KeyRange(low=low, high=high),
+    holdings = tuple(
+        holdings_codec.decode_holding(holding) for holding in row["holdings"]
     )
+    return fleet.Listed(target=name, state=state, holdings=holdings)
