Give the table of links and used tickets their usual names

Cause: a newcomer had to guess what a link book and a ticket desk are. Change: LinkTable and UsedTickets. Before and after: the tests of transports and routing pass. Conclusion: names say what the objects hold.

--- a/src/bramleyfork/controllers/_tickets.py
+++ b/src/bramleyfork/controllers/_tickets.py
@@ -11,7 +11,7 @@
 from bramleyfork.decisions import tickets
 
 
-class TicketDesk:
+class UsedTickets:
     """Accepts each ticket once and keeps its use until it expires.
 
     Args:
--- a/src/bramleyfork/controllers/routing.py
+++ b/src/bramleyfork/controllers/routing.py
@@ -71,7 +71,7 @@
             view=self._view,
             members=self.table("members"),
         )
-        self._tickets = _tickets.TicketDesk(
+        self._tickets = _tickets.UsedTickets(
             settings=self.settings,
             table=self.table("tickets"),
             writer=self.writer("tickets"),
--- a/src/bramleyfork/transports/peer_hub.py
+++ b/src/bramleyfork/transports/peer_hub.py
@@ -10,11 +10,11 @@
 from bramleyfork.core import records
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
-from bramleyfork.transports import peer_book
 from bramleyfork.transports import peer_counters
 from bramleyfork.transports import peer_cuts
 from bramleyfork.transports import peer_handshake
 from bramleyfork.transports import peer_inbox
+from bramleyfork.transports import peer_link_table
 from bramleyfork.transports import peer_links
 from bramleyfork.transports import peer_outbox
 from bramleyfork.transports import peer_streams
@@ -32,7 +32,7 @@
     Args:
       settings: Settings of the daemon.
       clock: Source of monotonic time.
-      book: Finds the link of a host.
+      links: Finds the link of a host.
       outbox: Encodes messages and reports those that cannot be sent.
       inbox: Takes received messages.
       counters: Traffic by kind.
@@ -42,7 +42,7 @@
     __slots__ = (
         "_settings",
         "_clock",
-        "_book",
+        "_links",
         "_outbox",
         "_inbox",
         "_counters",
@@ -60,7 +60,7 @@
         *,
         settings: daemon_settings.Settings,
         clock: clocks.Clock,
-        book: peer_book.LinkBook,
+        links: peer_link_table.LinkTable,
         outbox: peer_outbox.Outbox,
         inbox: peer_inbox.Inbox,
         counters: peer_counters.Counters,
@@ -68,7 +68,7 @@
     ):
         self._settings = settings
         self._clock = clock
-        self._book = book
+        self._links = links
         self._outbox = outbox
         self._inbox = inbox
         self._counters = counters
@@ -103,14 +103,14 @@
     def begin(self) -> None:
         """Prepares a turn of sends."""
         self._cuts.refresh(self._clock.read_monotonic())
-        self._book.refresh()
+        self._links.refresh()
 
     def send(self, message: records.Record, host: str) -> None:
         """Queues a message for one host."""
         outgoing = self._outbox.encode(message)
         if outgoing is None:
             return
-        link = self._book.find_link(host)
+        link = self._links.find_link(host)
         if link is None:
             self._outbox.refuse([outgoing], f"no address of host {host!r}")
             return
@@ -122,7 +122,7 @@
         outgoing = self._outbox.encode(message)
         if outgoing is None:
             return
-        for link in self._book.list_every():
+        for link in self._links.list_every():
             link.batch.append(outgoing)
             self._touched[link] = None
 
@@ -171,14 +171,14 @@
         if stream.dialled is None:
             self._greet(stream)
         stream.accept(hello)
-        link = self._book.adopt(stream)
+        link = self._links.adopt(stream)
         # A new process of that host has replaced the one before.
         for other in list(link.streams):
             if other.incarnation != hello.incarnation:
                 other.abort()
         link.streams.append(stream)
         link.note_connected()
-        self._book.publish(link, connected=True)
+        self._links.publish(link, connected=True)
         _LOG.info("stream up", extra=_describe(stream))
         self._write(link, stream, self._outbox.renew(link.take_held(), now))
 
@@ -192,7 +192,7 @@
             return
         for frame in batch:
             self._counters.count_in(frame.kind, frame.size)
-        self._inbox.put(self._book.get_link(stream.host), batch, now)
+        self._inbox.put(self._links.get_link(stream.host), batch, now)
 
     def handle_invalid(
         self, stream: peer_streams.Stream, error: frames.FrameError
@@ -207,7 +207,7 @@
             self._all_lost.set()
         if stream.host is None:
             return
-        link = self._book.get_link(stream.host)
+        link = self._links.get_link(stream.host)
         link.streams.remove(stream)
         lost = link.take_lost(stream, self._clock.read_monotonic())
         _LOG.info(
@@ -219,8 +219,8 @@
             f"the stream to {stream.host} broke before the reply",
         )
         if not link.streams:
-            self._book.publish(link, connected=False)
-            self._book.remove_undeclared()
+            self._links.publish(link, connected=False)
+            self._links.remove_undeclared()
 
     # Sending.
 
@@ -257,7 +257,7 @@
     def _hold(
         self, link: peer_links.Link, batch: list[peer_links.Outgoing]
     ) -> None:
-        address = self._book.find_address(link)
+        address = self._links.find_address(link)
         now = self._clock.read_monotonic()
         if address is None or (not link.connecting and now < link.retry_at):
             self._outbox.refuse(batch, f"no stream to host {link.host!r}")
@@ -342,7 +342,7 @@
     def _sweep(self) -> None:
         self._sweep_timer = None
         now = self._clock.read_monotonic()
-        links = self._book.list_links()
+        links = self._links.list_links()
         for link in links:
             link.forget_expired(now)
         if any(link.has_outstanding for link in links):
--- a/src/bramleyfork/transports/peer_book.py
+++ b/src/bramleyfork/transports/peer_link_table.py
@@ -9,7 +9,7 @@
 from bramleyfork.transports import peer_streams
 
 
-class LinkBook:
+class LinkTable:
     """The links of a daemon, by host.
 
     Until a declaration is in force, seeds are reached by address; the hello
--- a/src/bramleyfork/transports/peers.py
+++ b/src/bramleyfork/transports/peers.py
@@ -11,11 +11,11 @@
 from bramleyfork.core import messages
 from bramleyfork.core import records
 from bramleyfork.core import transports
-from bramleyfork.transports import peer_book
 from bramleyfork.transports import peer_counters
 from bramleyfork.transports import peer_cuts
 from bramleyfork.transports import peer_hub
 from bramleyfork.transports import peer_inbox
+from bramleyfork.transports import peer_link_table
 from bramleyfork.transports import peer_outbox
 from bramleyfork.transports import peer_streams
 
@@ -100,7 +100,7 @@
         return peer_hub.PeerHub(
             settings=self.settings,
             clock=self.clock,
-            book=peer_book.LinkBook(
+            links=peer_link_table.LinkTable(
                 settings=self.settings,
                 clock=self.clock,
                 declaration=self.board.find_table("declaration"),
