Say report for what a target tells of itself

Cause: comments called it the target's word. Before and after: no behaviour. Conclusion: the record's name, TargetReport, and its comments agree.

--- a/src/bramleyfork/controllers/_announcer.py
+++ b/src/bramleyfork/controllers/_announcer.py
@@ -63,7 +63,7 @@
             self.offer(host, version)
 
     def repeat(self, version: revisions.Version, now: float) -> None:
-        """Passes on word from above that the version is still the latest."""
+        """Offers the version again after the host above has confirmed it."""
         if now >= self._relayed_at + _RELAY_INTERVAL_S:
             self.relay(version, now)
 
--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -239,7 +239,7 @@
     def note_reply(
         self, reply: replies.SubReply, elapsed_s: float, now: float
     ) -> bool:
-        """Learns from a reply; returns whether the target's word changed."""
+        """Learns from a reply; returns whether the target's report changed."""
         stats = self._stats.get(reply.target)
         target = self.declaration.targets.get(reply.target)
         if stats is None or target is None:
@@ -262,7 +262,7 @@
             return False
         known = self._fresh.get(reply.target)
         # A refused snapshot shows that what the list adds to the target's
-        # holdings is wrong, so it is news even if the target's word is not.
+        # holdings is wrong, so it is news even if the target's report is not.
         if (
             known is not None
             and known[1] == reply.report.holdings
--- a/src/bramleyfork/controllers/_owned_target.py
+++ b/src/bramleyfork/controllers/_owned_target.py
@@ -97,7 +97,7 @@
         return drained
 
     def note_report(self, report: requests.TargetReport) -> bool:
-        """Returns whether the target's word differs from the last one."""
+        """Returns whether the target's report differs from the last one."""
         key = (report.epoch, report.state, report.holdings)
         if key == self._report_key:
             return False
--- a/src/bramleyfork/decisions/membership.py
+++ b/src/bramleyfork/decisions/membership.py
@@ -50,7 +50,7 @@
       update: News about the same host.
       now: Monotonic seconds.
       direct: Whether the host itself sent it. Load and lease change without
-        a new incarnation, so that only the host's own word on them is newer
+        a new incarnation, so that only the host's own update on them is newer
         for certain.
     """
     if member is None or supersedes(update, member):
--- a/src/bramleyfork/decisions/pacing.py
+++ b/src/bramleyfork/decisions/pacing.py
@@ -8,7 +8,7 @@
 
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 30.0
-FALLBACK_S = 30.0  # Without word from a watcher.
+FALLBACK_S = 30.0  # Without a message from a watcher.
 
 CALL_TIMEOUT_S = 3.0
 PATIENCE_S = CALL_TIMEOUT_S + 2.0  # Then the transport's answer is lost.
@@ -63,7 +63,7 @@
 
 
 def compute_fallback(host: str, reads: int) -> float:
-    """Returns how long a host waits for word from a watcher, seconds.
+    """Returns how long a host waits for a message from a watcher, seconds.
 
     Args:
       host: Name of the host that waits.
--- a/src/bramleyfork/decisions/targets.py
+++ b/src/bramleyfork/decisions/targets.py
@@ -1,4 +1,4 @@
-"""What to believe of a target, from the list, its own word and peers."""
+"""What to believe of a target, from the list, its own reports and peers."""
 
 import math
 
@@ -21,8 +21,8 @@
       listed_epoch: Epoch known at that time.
       listed_holdings: Holdings in the list.
       listed_holdings_at: When they last changed, monotonic seconds.
-      state: The target's latest word: "cold", "warm", "leaving" or None.
-      epoch: Epoch of that word.
+      state: The target's latest report: "cold", "warm", "leaving" or None.
+      epoch: Epoch of that report.
       word_at: When it was heard, monotonic seconds.
       said_by: Peer that passed it on; empty when heard directly.
       holdings: Holdings it last stated directly.
@@ -100,7 +100,7 @@
 
 
 def note_sighting(evidence: Evidence, sighting: fleet.Sighting) -> Evidence:
-    """Adds what a target said of itself; an older word is ignored."""
+    """Adds what a target said of itself; an older report is ignored."""
     if sighting.seen_at < evidence.word_at and not evidence.said_by:
         return evidence
     report = sighting.report
@@ -208,9 +208,9 @@
 
 
 def is_word_of_leaving(evidence: Evidence, now: float) -> bool:
-    """Returns whether the target's own word that it is leaving still counts.
+    """Returns whether the target's own report that it is leaving still counts.
 
-    It ends with a later word, when the list shows the target's return after
+    It ends with a later report, when the list shows the target's return after
     it, or after WORD_LIFETIME_S.
     """
     if evidence.state != "leaving":
@@ -232,7 +232,7 @@
 def merge_holdings(evidence: Evidence) -> tuple[requests.Holding, ...]:
     """Returns what a target holds, as far as known.
 
-    The target's own word goes before the list. If the list's row has changed
+    The target's own report goes before the list. If the list's row has changed
     since, its holdings are added: a replica that is not asked for lack of a
     snapshot would otherwise never be heard of again when it has got it. A
     wrong addition costs one attempt that is refused as not run.
--- a/src/bramleyfork/decisions/warmup.py
+++ b/src/bramleyfork/decisions/warmup.py
@@ -56,7 +56,7 @@
 ) -> None:
     """Updates a warm-up after a reply.
 
-    The target's own word can only make it cold; it becomes warm after
+    The target's own report can only make it cold; it becomes warm after
     ``cold_period_s`` seconds of successes alone.
     """
     warmth.last_reply_at = now
