--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -66,7 +66,6 @@
         "_random",
         "_stats",
         "_ranking",
-        "_distances",
         "_avoided_owners",
         "_heard_owners",
         "_fresh",
@@ -82,7 +81,6 @@
         self._random = random.Random(seed)
         self._stats: dict[str, TargetStats] = {}
         self._ranking = ranking.Ranking()
-        self._distances: dict[str, int] = {}  # By data centre.
         self._avoided_owners: dict[str, float] = {}
         self._heard_owners: dict[str, float] = {}
         self._fresh: dict[str, tuple[float, tuple[requests.Holding, ...]]] = {}
@@ -105,11 +103,6 @@
             for name in self._stats.keys() - declaration.targets.keys():
                 del self._stats[name]
                 self._fresh.pop(name, None)
-        own = declaration.hosts.get(self.host)
-        self._distances = {
-            centre: _measure_distance(own, centre, declaration)
-            for centre in declaration.data_centres
-        }
         for service in declaration.services:
             self.service_latency.setdefault(service, latencies.LatencyWindow())
 
@@ -293,10 +286,6 @@
 
     def _build_candidate(self, name: str, now: float) -> replicas.Candidate:
         stats = self._find_stats(name)
-        # A query that runs while the declaration changes may still name a
-        # target that is not declared any more.
-        target = self.declaration.targets.get(name)
-        centre = target.data_centre if target is not None else ""
         return replicas.Candidate(
             target=name,
             outstanding=stats.outstanding,
@@ -304,7 +293,6 @@
             latency_s=stats.latency.mean_s,
             failing=stats.avoid_until > now
             or stragglers.is_avoided(stats.slowness),
-            distance=self._distances.get(centre, 2),
         )
 
     def _list_to_ask(
@@ -342,17 +330,3 @@
                 holdings = status.holdings
             collected[target.service][name] = holdings
         return collected
-
-
-def _measure_distance(
-    own: declarations.Host | None,
-    data_centre: str,
-    declaration: declarations.Declaration,
-) -> int:
-    if own is None:
-        return 2
-    if own.data_centre == data_centre:
-        return 0
-    centres = declaration.data_centres
-    own_region = centres[own.data_centre].region
-    return 1 if own_region == centres[data_centre].region else 2
--- a/src/bramleyfork/decisions/latencies.py
+++ b/src/bramleyfork/decisions/latencies.py
@@ -1,6 +1,5 @@
 """Recent latencies of a service or a target."""
 
-import bisect
 import collections
 
 _WINDOW = 256  # Samples; a percentile over them follows load within seconds.
@@ -43,7 +42,3 @@
             return None
         index = int(len(self._sorted) * percentile / 100)
         return self._sorted[min(index, len(self._sorted) - 1)]
-
-    def count_above(self, seconds: float) -> int:
-        """Returns how many of the recent samples exceed ``seconds``."""
-        return len(self._sorted) - bisect.bisect_right(self._sorted, seconds)
--- a/src/bramleyfork/decisions/replicas.py
+++ b/src/bramleyfork/decisions/replicas.py
@@ -20,7 +20,6 @@
       queue_length: Sub-requests its owner last reported as held for it.
       latency_s: Average latency seen by this router, or None.
       failing: Whether its last attempts failed.
-      distance: 0 in the same data centre, 1 in the region, 2 elsewhere.
     """
 
     __slots__ = (
@@ -29,7 +28,6 @@
         "queue_length",
         "latency_s",
         "failing",
-        "distance",
     )
 
     def __init__(
@@ -40,14 +38,12 @@
         queue_length: int,
         latency_s: float | None,
         failing: bool,
-        distance: int,
     ):
         self.target = target
         self.outstanding = outstanding
         self.queue_length = queue_length
         self.latency_s = latency_s
         self.failing = failing
-        self.distance = distance
 
 
 Policy = collections.abc.Callable[
