Check silent targets at once and ask lost parts again

Ruled out: sends to a silent target without a health check; it may have come back cold under its old id, and the check is what tells.

--- a/src/bramleyfork/entry/controllers/_dispatcher.py
+++ b/src/bramleyfork/entry/controllers/_dispatcher.py
@@ -19,8 +19,10 @@
 
 _LOG = logging.getLogger("bramleyfork.decisions")
 
-# Pause before a target of the same shard is asked again after a failure.
-_RETRY_PAUSE_S = 0.02
+# Pauses before a target of the same shard is asked again after a failure, and
+# before a shard without target is looked at again.
+_RETRY_PAUSE_S = 0.005
+_NO_TARGET_PAUSE_S = 0.02
 _RETRY_GROWTH = 2.0
 # Most sends per shard; failures that did not run don't count as attempts, and
 # this bounds how often they are repeated.
@@ -252,7 +254,9 @@
         self, exchange: _exchange.Exchange, shard: _exchange.Shard
     ) -> None:
         """Plans the next attempt at a shard, or gives it up."""
-        pause = _RETRY_PAUSE_S * _RETRY_GROWTH ** min(shard.sends, 3)
+        pause = _NO_TARGET_PAUSE_S
+        if shard.sends:
+            pause = _RETRY_PAUSE_S * _RETRY_GROWTH ** min(shard.sends, 5)
         pause *= 0.5 + self._random.random()
         shard.retry_at = self.now + pause
         if shard.retry_at >= exchange.deadline_at:
@@ -287,3 +291,22 @@
                     "via": attempt.via,
                 },
             )
+
+
+def may_repeat(route: declarations.Route, shard: _exchange.Shard) -> bool:
+    """Returns whether a shard may be asked again after a failure.
+
+    A route's attempts bound how many targets are asked. One of these may be
+    asked again if it may be that it didn't answer by chance: the parts of a
+    gather are of use from any of them, and a single request's whole failure is
+    the answer of its target.
+    """
+    ran = sum(v is not verdicts.Verdict.NOT_RUN for v in shard.verdicts)
+    if not route.idempotent and ran:
+        return False
+    if shard.sends >= SEND_LIMIT:
+        return False
+    if ran < route.attempts:
+        return True
+    is_answer = shard.failure is not None and not route.shards
+    return route.attempts > 1 and not is_answer
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -245,14 +245,7 @@
         exchange: _exchange.Exchange,
         shard: _exchange.Shard,
     ) -> None:
-        ran = sum(v is not verdicts.Verdict.NOT_RUN for v in shard.verdicts)
-        if not exchange.route.idempotent and ran:
-            shard.is_lost = True
-            return
-        if (
-            ran >= exchange.route.attempts
-            or shard.sends >= _dispatcher.SEND_LIMIT
-        ):
+        if not _dispatcher.may_repeat(exchange.route, shard):
             shard.is_lost = True
             return
         exchange.retries += 1
--- a/src/bramleyfork/entry/controllers/targets.py
+++ b/src/bramleyfork/entry/controllers/targets.py
@@ -12,6 +12,9 @@
 
 _PROBE_EVERY_S = 1.0
 _PROBE_SPREAD = 0.3  # Hosts must not ask in step.
+# A target that is silent, but stands, mostly replies again within this time.
+# Longer without it would leave out shards that have no other target.
+_FIRST_PROBE_S = 0.05
 
 
 @parts.register(
@@ -85,7 +88,11 @@
         condition.state = (
             usability.MISDIRECTED if is_other else usability.UNVERIFIED
         )
-        condition.probe_at = self._now + self._draw_pause()
+        condition.probe_at = self._now + (
+            self._random.random() * _FIRST_PROBE_S
+            if fault.fault == "silent"
+            else self._draw_pause()
+        )
         self._log(fault.target, condition, fault.fault)
         return True
 
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -216,6 +216,36 @@
     assert len(asked) == 2
 
 
+def test_a_shard_with_one_target_asks_it_again_after_lost_replies():
+    # Guards against parts that are given up after as many losses as the route
+    # allows targets, though one target is left and time too (inc-5127).
+    route = creators.create_gather(4, attempts=2)
+    fed = start(route, {name: (name + "a",) for name in route.shards})
+    sends = ask(fed)
+    for send in sends[:3]:
+        answer(fed, send)
+    send = sends[3]
+    for _ in range(2):
+        fed.append("replies", creators.create_fault(send.attempt, "lost"))
+        fed.step()
+        fed.step(0.03)
+        (send,) = fed.take("sends")
+    answer(fed, send)
+    (response,) = fed.take("responses")
+    assert find_header(response, b"missing-parts") == b"0"
+
+
+def test_a_single_requests_whole_failures_end_it():
+    # Guards against repeats of a request that its targets refuse for good.
+    fed = start_single(attempts=2)
+    (send,) = ask(fed)
+    answer(fed, send, status=500)
+    (send,) = fed.take("sends")
+    answer(fed, send, status=500)
+    (response,) = fed.take("responses")
+    assert response.status == 500
+
+
 def test_a_caller_that_left_ends_all_its_attempts():
     fed = start_gather()
     sends = ask(fed)
