Run the entry host from files of the project's own too

Cause: the entry host was reachable through the platform's settings and pages only, and the inputs of the choice of hosts were gathered in platform/.

Change: adapters are parts in a registry of their own, named by the settings. bramleyfork.standalone adds settings and a declaration in TOML, checked as a whole with every problem named, and pages on which callers find hosts; the program is bramleyfork-entry, `bramleyfork check-entry` checks both files. What callers are told is put together in entry/directories.

Ruled out: a second program beside the host; the platform's format as the project's own.

--- /dev/null
+++ b/src/bramleyfork/commands/entries.py
@@ -0,0 +1,62 @@
+"""The command that checks the files of an entry host that runs from them."""
+
+from bramleyfork.commands import registry
+from bramleyfork.configuration import tables
+from bramleyfork.standalone import declaration
+from bramleyfork.standalone import settings
+
+
+@registry.COMMANDS.register("check-entry")
+def check_entry(
+    arguments: list[str], options: registry.Options
+) -> registry.Result:
+    """Checks settings and the declaration that they name: check-entry FILE."""
+    del options
+    if len(arguments) != 1:
+        return registry.Result(
+            exit_code=registry.EXIT_USAGE,
+            rows=[],
+            message=f"usage: check-entry FILE, not {arguments!r}",
+        )
+    (path,) = arguments
+    loaded = settings.load_settings(path)
+    if loaded.is_error():
+        return _refuse(loaded.error, f"{path}: settings refused")
+    declared = declaration.load_declaration(loaded.ok.declaration_file)
+    if declared.is_error():
+        return _refuse(
+            declared.error,
+            f"{loaded.ok.declaration_file}: declaration refused",
+        )
+    subjects = [change.subject for change in declared.ok.changes]
+    return registry.Result(
+        exit_code=registry.EXIT_OK,
+        rows=[
+            {
+                "host": loaded.ok.host,
+                "revision": declared.ok.revision,
+                "targets": subjects.count("target"),
+                "evacuated": subjects.count("evacuation"),
+            }
+        ],
+        message=f"{path}: accepted",
+    )
+
+
+def _refuse(
+    problems: tuple[tables.Problem, ...], message: str
+) -> registry.Result:
+    return registry.Result(
+        exit_code=registry.EXIT_REFUSED,
+        rows=[
+            {
+                "file": problem.file,
+                "key": problem.key,
+                "value": problem.value,
+                "allowed": problem.allowed,
+                "advice": problem.advice,
+            }
+            for problem in problems
+        ],
+        message=message,
+    )
--- /dev/null
+++ b/src/bramleyfork/entry/directories.py
@@ -0,0 +1,121 @@
+"""What callers are told of the hosts, from what a host knows of the fleet."""
+
+import collections.abc
+
+from bramleyfork.core import blackboard
+from bramleyfork.entry import declarations
+from bramleyfork.entry import fleet
+from bramleyfork.entry.decisions import placement
+
+
+class Directory:
+    """Answers which hosts a caller should use, and whether this host is one.
+
+    Args:
+      regions: Region by data centre.
+      tables: The sections in TABLES.
+    """
+
+    TABLES = ("members", "usable", "route_table", "lifecycle", "feed_state")
+
+    __slots__ = ("_regions", "_tables")
+
+    def __init__(
+        self,
+        *,
+        regions: collections.abc.Mapping[str, str],
+        tables: collections.abc.Mapping[str, blackboard.Table],
+    ):
+        self._regions = regions
+        self._tables = tables
+
+    def is_ready(self) -> bool:
+        """Returns whether this host takes requests and knows their routes."""
+        phase = self._tables["lifecycle"].get("current")
+        return (
+            phase is not None
+            and phase.phase == "serving"
+            and self._tables["feed_state"].get("current") is not None
+            and self._find_routes() is not None
+        )
+
+    def choose_hosts(self, name: str, region: str) -> list[str]:
+        """Returns addresses of hosts for a caller.
+
+        Args:
+          name: Host name of the caller's requests, in lower case.
+          region: Where the caller is.
+        """
+        services = self._list_services(name)
+        return placement.choose_hosts(
+            hosts=self._list_hosts(),
+            caller_region=region,
+            regions=placement.choose_regions(
+                caller_region=region,
+                services=services,
+                covered=self._list_covered(),
+                homes=self._find_homes(name),
+            ),
+            per_region=placement.count_hosts_in_use(
+                self._find_connection_limit(services),
+                len(set(self._regions.values())),
+            ),
+        )
+
+    def _find_routes(self) -> declarations.RouteTable | None:
+        return self._tables["route_table"].get("current")
+
+    def _list_hosts(self) -> list[placement.Host]:
+        return [
+            placement.Host(
+                address="{}:{}".format(*member.beat.caller_address),
+                region=self._regions.get(member.beat.data_centre, ""),
+                capacity=member.beat.capacity,
+            )
+            for member in self._tables["members"].list_records()
+            if member.beat.state == fleet.SERVING
+        ]
+
+    def _find_connection_limit(self, services: set[str]) -> int:
+        """Returns the least connection limit of a target of the services."""
+        table = self._find_routes()
+        if table is None:
+            return 0
+        limits = [
+            table.services[service].connection_limit
+            for service in services
+            if service in table.services
+        ]
+        return min(limits, default=0)
+
+    def _find_homes(self, name: str) -> frozenset[str] | None:
+        """Returns the regions that suit all routes of a host name."""
+        table = self._find_routes()
+        bound = [
+            route.regions
+            for route in (table.routes.get(name, ()) if table else ())
+            if route.regions
+        ]
+        return frozenset.intersection(*bound) if bound else None
+
+    def _list_services(self, name: str) -> set[str]:
+        table = self._find_routes()
+        if table is None:
+            return set()
+        return {
+            service
+            for route in table.routes.get(name, ())
+            for service in route.list_services()
+        }
+
+    def _list_covered(self) -> dict[str, set[str]]:
+        """Returns the services that have a target in use, by region."""
+        covered: dict[str, set[str]] = {
+            region: set() for region in self._regions.values()
+        }
+        for service, targets in self._tables["usable"].copy_records().items():
+            for target in targets:
+                region = self._regions.get(target.data_centre)
+                if region is not None:
+                    covered[region].add(service)
+        return covered
--- a/src/bramleyfork/entry/parts.py
+++ b/src/bramleyfork/entry/parts.py
@@ -77,12 +77,18 @@
 TRANSPORTS: registries.Registry[type[Part]] = registries.Registry(
     kind="entry transport"
 )
+# Parts that join a host to the place where it runs: where its feed comes from,
+# and the pages on which callers find it. The settings name those that run.
+ADAPTERS: registries.Registry[type[Part]] = registries.Registry(
+    kind="entry adapter"
+)
 
 
 def register(
     registry: registries.Registry[type[Part]],
     name: str,
     *,
+    role: str = "",
     reads: collections.abc.Sequence[str] = (),
     writes: collections.abc.Sequence[str] = (),
     peeks: collections.abc.Sequence[str] = (),
@@ -90,15 +96,17 @@
     """Returns a decorator that registers a controller or a transport.
 
     Args:
-      registry: CONTROLLERS or TRANSPORTS.
-      name: The part's name, as in the writer column of the sections.
+      registry: CONTROLLERS, TRANSPORTS or ADAPTERS.
+      name: The name to register the part by.
+      role: The part's name in the writer column of the sections, if that is
+        another one.
       reads: Sections whose changes wake the part.
       writes: Sections it owns.
       peeks: Tables it reads without being woken by their changes.
     """
 
     def store(part_class: type[Part]) -> type[Part]:
-        part_class.name = name
+        part_class.name = role or name
         part_class.reads = tuple(reads)
         part_class.peeks = tuple(peeks)
         part_class.writes = tuple(writes)
--- a/src/bramleyfork/entry/process.py
+++ b/src/bramleyfork/entry/process.py
@@ -61,6 +61,9 @@
         classes = dict(
             parts.CONTROLLERS.list_items() + parts.TRANSPORTS.list_items()
         )
+        for name in settings.adapters:
+            adapter = parts.ADAPTERS.find(name)
+            classes[adapter.name] = adapter
         names = [*_ORDER, *(n for n in sorted(classes) if n not in _ORDER)]
         self._parts = [
             classes[name](board=self.board, context=self.context)
@@ -108,7 +111,7 @@
 ) -> None:
     """Runs a host until it is told to end.
 
-    Transports that an adapter adds have to be registered before.
+    The adapters that the settings name have to be registered before.
     """
     handler = lines.set_up_logging(
         level=settings.log_level, descriptor=1, host=settings.host
--- a/src/bramleyfork/entry/settings.py
+++ b/src/bramleyfork/entry/settings.py
@@ -50,6 +50,8 @@
       directory_lifetime_s: How long callers may keep a directory answer.
       grace_s: From the request to end until the process is killed.
       log_level: Lowest level of lines that are written.
+      adapters: Registered names of the parts that join the host to the place
+        where it runs.
     """
 
     __slots__ = (
@@ -67,6 +69,7 @@
         "directory_lifetime_s",
         "grace_s",
         "log_level",
+        "adapters",
     )
 
     def __init__(
@@ -86,6 +89,7 @@
         directory_lifetime_s: float = DIRECTORY_LIFETIME_S,
         grace_s: float = 6.0,
         log_level: str = "INFO",
+        adapters: tuple[str, ...] = (),
     ):
         self.host = host
         self.data_centre = data_centre
@@ -101,6 +105,7 @@
         self.directory_lifetime_s = directory_lifetime_s
         self.grace_s = grace_s
         self.log_level = log_level
+        self.adapters = adapters
 
     @property
     def region(self) -> str:
--- /dev/null
+++ b/src/bramleyfork/standalone/__init__.py
@@ -0,0 +1,1 @@
+"""An entry host that reads settings and declaration from TOML files."""
--- /dev/null
+++ b/src/bramleyfork/standalone/host.py
@@ -0,0 +1,47 @@
+"""The program ``bramleyfork-entry``: one entry host that runs from files."""
+
+import sys
+
+from absl import app
+from absl import flags
+
+from bramleyfork.entry import dialects
+from bramleyfork.entry import process
+from bramleyfork.standalone import feed  # noqa: F401
+from bramleyfork.standalone import pages  # noqa: F401
+from bramleyfork.standalone import settings
+
+_SETTINGS = flags.DEFINE_string(
+    "entry_settings", None, "TOML file with the settings of this host."
+)
+
+_EXIT_OK = 0
+_EXIT_SETTINGS = 2
+
+
+def main(argv: list[str]) -> int:
+    """Runs a host until SIGTERM or SIGINT; returns the exit code."""
+    del argv
+    if _SETTINGS.value is None:
+        _complain("--entry_settings FILE is required")
+        return _EXIT_SETTINGS
+    loaded = settings.load_settings(_SETTINGS.value)
+    if loaded.is_error():
+        for problem in loaded.error:
+            _complain(problem.describe())
+        return _EXIT_SETTINGS
+    process.run(settings=loaded.ok, dialect=dialects.Dialect())
+    return _EXIT_OK
+
+
+def _complain(text: str) -> None:
+    print(f"bramleyfork-entry: {text}", file=sys.stderr)  # noqa: T201
+
+
+def run() -> None:
+    """Entry point of the installed program."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/bramleyfork/standalone/settings.py
@@ -0,0 +1,268 @@
+"""Settings of an entry host that runs from files, read once at its start."""
+
+import pathlib
+import typing
+
+import expression
+
+from bramleyfork.configuration import manifests
+from bramleyfork.configuration import tables
+from bramleyfork.entry import settings
+
+ADAPTERS = ("declaration_file", "host_pages")
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+@tables.VALIDATORS.register("names_by_name")
+def check_names_by_name(
+    option: tables.Option, value: typing.Any
+) -> expression.Result[typing.Any, str]:
+    """Accepts a table from names to names."""
+    del option
+    if isinstance(value, dict) and value:
+        texts = [*value, *value.values()]
+        if all(
+            isinstance(text, str) and tables.NAME_PATTERN.fullmatch(text)
+            for text in texts
+        ):
+            return expression.Ok(value)
+    return expression.Error(
+        "a table from names to names, such as { bilbao = 'pais-vasco' }"
+    )
+
+
+OPTIONS = (
+    tables.Option(key="host", type="name", purpose="Name of this host."),
+    tables.Option(
+        key="data_centre",
+        type="name",
+        purpose="Data centre of this host; a key of regions.",
+    ),
+    tables.Option(
+        key="regions",
+        type="names_by_name",
+        purpose="Region of each data centre.",
+    ),
+    tables.Option(
+        key="declaration_file",
+        type="path",
+        purpose="TOML file with routes, services and targets.",
+    ),
+    tables.Option(
+        key="caller_address",
+        type="address",
+        purpose="Where to listen for callers.",
+    ),
+    tables.Option(
+        key="pages_address",
+        type="address",
+        purpose="Where to answer which hosts to use, and whether it is ready.",
+    ),
+    tables.Option(
+        key="peer_address",
+        type="address",
+        purpose="Where to listen for other hosts, over UDP and TCP.",
+    ),
+    tables.Option(
+        key="carrier_address",
+        type="address",
+        purpose="Where to listen for attempts of other hosts.",
+    ),
+    tables.Option(
+        key="metrics_address",
+        type="address",
+        default=None,
+        purpose="Where to serve metrics; without it they are not served.",
+    ),
+    tables.Option(
+        key="seeds",
+        type="addresses",
+        default=(),
+        purpose="Peer addresses of hosts that may be up.",
+    ),
+    tables.Option(
+        key="cores",
+        type="number",
+        default=1.0,
+        unit="cores",
+        low=0.01,
+        high=1024,
+        purpose="Processor of this host.",
+    ),
+    tables.Option(
+        key="link_mbps",
+        type="number",
+        default=1000.0,
+        unit="Mbit/s",
+        low=0.1,
+        high=1_000_000,
+        purpose="Link of this host.",
+    ),
+    tables.Option(
+        key="retry_ratio",
+        type="number",
+        default=0.1,
+        unit="attempts a request",
+        low=0,
+        high=1,
+        purpose="Attempts beyond the first of each request, over all hosts.",
+    ),
+    tables.Option(
+        key="retry_slack",
+        type="number",
+        default=10.0,
+        unit="attempts",
+        low=0,
+        high=100_000,
+        purpose="Attempts allowed besides in each window, over all hosts.",
+    ),
+    tables.Option(
+        key="retry_window_s",
+        type="number",
+        default=10.0,
+        unit="seconds",
+        low=1,
+        high=600,
+        purpose="Length of that window.",
+    ),
+    tables.Option(
+        key="directory_lifetime_s",
+        type="number",
+        default=settings.DIRECTORY_LIFETIME_S,
+        unit="seconds",
+        low=0.1,
+        high=60,
+        purpose="How long callers keep the answer which hosts to use.",
+    ),
+    tables.Option(
+        key="grace_s",
+        type="number",
+        default=6.0,
+        unit="seconds",
+        low=1,
+        high=600,
+        purpose="From SIGTERM until the process is killed.",
+    ),
+    tables.Option(
+        key="log_level",
+        type="choice",
+        default="INFO",
+        choices=LOG_LEVELS,
+        purpose="Lowest level of logs written.",
+    ),
+)
+
+_ADDRESSES = (
+    "caller_address",
+    "pages_address",
+    "peer_address",
+    "carrier_address",
+    "metrics_address",
+)
+_RETRY_KEYS = {
+    "ratio": "retry_ratio",
+    "slack": "retry_slack",
+    "window_s": "retry_window_s",
+}
+
+
+class StandaloneSettings(settings.Settings):
+    """Settings of an entry host and what only its own adapters need.
+
+    Attributes:
+      declaration_file: Path of the file with routes, services and targets.
+      pages_address: Where it answers which hosts to use.
+    """
+
+    __slots__ = ("declaration_file", "pages_address")
+
+    def __init__(
+        self,
+        *,
+        declaration_file: str,
+        pages_address: tuple[str, int],
+        **others: typing.Any,
+    ):
+        super().__init__(adapters=ADAPTERS, **others)
+        self.declaration_file = declaration_file
+        self.pages_address = pages_address
+
+
+def load_settings(
+    path: str | pathlib.Path,
+) -> expression.Result[StandaloneSettings, tuple[tables.Problem, ...]]:
+    """Reads and checks a settings file; reports every problem.
+
+    Args:
+      path: A TOML file with the keys of OPTIONS.
+    """
+    file = str(path)
+    return (
+        read_file(path, "a readable settings file")
+        .bind(lambda body: manifests.parse_toml(body, file))
+        .bind(lambda values: tables.check_options(OPTIONS, values, file=file))
+        .bind(lambda values: _build_settings(values, file))
+    )
+
+
+def read_file(
+    path: str | pathlib.Path, allowed: str
+) -> expression.Result[bytes, tuple[tables.Problem, ...]]:
+    """Returns the content of a file, or the problem in ``allowed``'s terms."""
+    try:
+        return expression.Ok(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        problem = tables.Problem(
+            file=str(path),
+            key="content",
+            value=None,
+            allowed=allowed,
+            advice=f"{error.strerror}; check the path",
+        )
+        return expression.Error((problem,))
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Returns IP address and port of a checked address."""
+    ip, _, port = text.rpartition(":")
+    return ip.strip("[]"), int(port)
+
+
+def _build_settings(
+    values: dict[str, typing.Any], file: str
+) -> expression.Result[StandaloneSettings, tuple[tables.Problem, ...]]:
+    problems = []
+    if values["data_centre"] not in values["regions"]:
+        problems.append(
+            tables.Problem(
+                file=file,
+                key="data_centre",
+                value=values["data_centre"],
+                allowed="one of " + ", ".join(sorted(values["regions"])),
+            )
+        )
+    seen: dict[str, str] = {}
+    for key in _ADDRESSES:
+        address = values[key]
+        if address is not None and address in seen:
+            problems.append(
+                tables.Problem(
+                    file=file,
+                    key=key,
+                    value=address,
+                    allowed=f"an address other than {seen[address]}",
+                )
+            )
+        seen.setdefault(address, key)
+    if problems:
+        return expression.Error(tuple(problems))
+    limits = {name: values.pop(key) for name, key in _RETRY_KEYS.items()}
+    for key in _ADDRESSES:
+        if values[key] is not None:
+            values[key] = split_address(values[key])
+    values["seeds"] = tuple(split_address(seed) for seed in values["seeds"])
+    return expression.Ok(
+        StandaloneSettings(
+            retry_limits=settings.RetryLimits(**limits), **values
+        )
+    )
--- a/src/standins/entry/replicas.py
+++ b/src/standins/entry/replicas.py
@@ -8,11 +8,22 @@
 Spoiler = collections.abc.Callable[[web.Request, web.Reply], web.Reply | None]
 
 
+# Header names by what they hold, as the users' replicas have them.
+HEADERS = {
+    "request_id": "X-Request-Id",
+    "expected_target": "X-Expected-Instance",
+    "stamp": "X-Server-Stamp",
+    "target": "X-Instance-Id",
+    "warmup_ms": "X-Warmup-Ms",
+}
+
+
 class Replica:
     """Answers requests with records and a signature.
 
     Attributes:
       name: Its id, which requests may expect.
+      headers: Header names by what they hold.
       records: Body of its replies.
       work_s: Seconds that a request takes.
       spoil: Changes replies; returning None resets the connection.
@@ -22,8 +33,16 @@
       abandoned: Number of requests whose connection ended while they ran.
     """
 
-    def __init__(self, *, name: str, records: bytes = b"", work_s: float = 0.0):
+    def __init__(
+        self,
+        *,
+        name: str,
+        records: bytes = b"",
+        work_s: float = 0.0,
+        headers: collections.abc.Mapping[str, str] = HEADERS,
+    ):
         self.name = name
+        self.headers = headers
         self.records = records
         self.work_s = work_s
         self.spoil: Spoiler | None = None
@@ -56,13 +75,14 @@
             return web.Reply(
                 status=200 if self.is_healthy else 503,
                 headers=(
-                    ("X-Instance-Id", self.name),
-                    ("X-Warmup-Ms", str(self.warmup_ms)),
+                    (self.headers["target"], self.name),
+                    (self.headers["warmup_ms"], str(self.warmup_ms)),
                 ),
             )
-        if request.headers.get("x-expected-instance", self.name) != self.name:
+        expected = self.headers["expected_target"].lower()
+        if request.headers.get(expected, self.name) != self.name:
             return web.Reply(
-                status=421, headers=(("X-Instance-Id", self.name),)
+                status=421, headers=((self.headers["target"], self.name),)
             )
         self.seen.append(request)
         try:
@@ -70,12 +90,12 @@
         except asyncio.CancelledError:
             self.abandoned += 1
             raise
-        request_id = request.headers.get("x-request-id", "")
+        request_id = request.headers.get(self.headers["request_id"].lower(), "")
         reply = web.Reply(
             status=200,
             headers=(
-                ("X-Request-Id", request_id),
-                ("X-Server-Stamp", f"{self.name}.{request_id}"),
+                (self.headers["request_id"], request_id),
+                (self.headers["stamp"], f"{self.name}.{request_id}"),
             ),
             body=self.find_records(request),
         )
--- a/tests/configuration/test_configuration_documents.py
+++ b/tests/configuration/test_configuration_documents.py
@@ -6,6 +6,8 @@
 from bramleyfork.configuration import manifests
 from bramleyfork.configuration import settings
 from bramleyfork.configuration import tables
+from bramleyfork.standalone import declaration as standalone_declaration
+from bramleyfork.standalone import settings as standalone_settings
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "configuration.md"
 
@@ -16,6 +18,12 @@
     "target templates": declared_options.TARGET_TEMPLATES,
     "manifest": manifests.MANIFEST_OPTIONS,
     "manifest parts": manifests.PART_OPTIONS,
+    "entry settings": standalone_settings.OPTIONS,
+    "entry declaration": standalone_declaration.TOP_OPTIONS,
+    "entry limits": standalone_declaration.LIMIT_OPTIONS,
+    "entry services": standalone_declaration.SERVICE_OPTIONS,
+    "entry routes": standalone_declaration.ROUTE_OPTIONS,
+    "entry targets": standalone_declaration.TARGET_OPTIONS,
 }
 
 
--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import signal
-import socket
 
 from bramleyfork.core import catalogues
 from bramleyfork.entry import controllers
@@ -17,6 +16,7 @@
 from standins.entry import replicas as standins
 from standins.entry import store as stores
 from tests.entry import live
+from tests.entry import ports
 from tests.platform_adapter import test_platform_items as items
 from tests.platform_adapter import test_platform_settings as fields
 
@@ -26,16 +26,6 @@
 SHARDS = ("s1", "s2", "s3", "s4")
 
 
-def find_ports(count):
-    with contextlib.ExitStack() as stack:
-        found = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            found.append(sock.getsockname()[1])
-        return found
-
-
 class World:
     """A host, its store and two replicas of each shard."""
 
@@ -53,7 +43,7 @@
 
     async def open(self):
         await self.store.open()
-        front, ready, directory, peers, carriers = find_ports(5)
+        front, ready, directory, peers, carriers = ports.find_ports(5)
         address = "127.0.0.1:{}".format
         settings = platform_settings.read_settings(
             fields.FIELDS
