--- a/src/bramleyfork/entry/controllers/_outcomes.py
+++ b/src/bramleyfork/entry/controllers/_outcomes.py
@@ -13,6 +13,9 @@
 
 # When to come back after a refusal; targets come into use within seconds.
 RETRY_AFTER_S = 0.25
+# The same while no source of the feed answers. A caller that comes back sooner
+# is refused again.
+FEED_RETRY_AFTER_S = 2.0
 # Faults of attempts that reached no target if they are said not to have run.
 _UNSENT = frozenset(("connect", "no_room", "expired", "not_usable", "carrier"))
 
@@ -27,11 +30,24 @@
         self.word = word
 
 
-def build_refusal_headers(status: int) -> exchanges.Headers:
+def build_refusal_headers(
+    status: int, retry_after_s: float = RETRY_AFTER_S
+) -> exchanges.Headers:
     """Returns the headers of an own refusal."""
     if status != 503:
         return ()
-    return ((b"Retry-After", b"%.2f" % RETRY_AFTER_S),)
+    return ((b"Retry-After", b"%.2f" % retry_after_s),)
+
+
+def find_retry_delay(feed: feeds.FeedState | None) -> float:
+    """Returns when a caller should come back to a host that knows no routes.
+
+    Args:
+      feed: The feed's state; None at the start of the process.
+    """
+    if feed is not None and feed.is_lost:
+        return FEED_RETRY_AFTER_S
+    return RETRY_AFTER_S
 
 
 def has_not_arrived(reply: exchanges.Reply) -> bool:
@@ -178,5 +194,7 @@
     }
     if feed is not None:
         fields["feed_revision"] = feed.revision
-        fields["feed_age_ms"] = round((now - feed.heard_at) * 1000)
+        fields["feed_age_ms"] = (
+            round((now - feed.heard_at) * 1000) if feed.heard_at else None
+        )
     return fields
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -370,11 +370,15 @@
         without_target: collections.abc.Sequence[str] = (),
     ) -> None:
         """Answers a request of which nothing was sent."""
+        feed = self.table("feed_state").get("current")
+        retry_after_s = _outcomes.RETRY_AFTER_S
+        if reason == "no_routes":
+            retry_after_s = _outcomes.find_retry_delay(feed)
         self.writer("responses").append(
             exchanges.Response(
                 key=request.key,
                 status=status,
-                headers=_outcomes.build_refusal_headers(status),
+                headers=_outcomes.build_refusal_headers(status, retry_after_s),
             )
         )
         self.context.metrics.count("requests_refused", reason)
@@ -386,7 +390,7 @@
                 reason=reason,
                 status=status,
                 without_target=without_target,
-                feed=self.table("feed_state").get("current"),
+                feed=feed,
                 now=self._now,
             ),
         )
--- a/src/bramleyfork/entry/controllers/feed.py
+++ b/src/bramleyfork/entry/controllers/feed.py
@@ -259,7 +259,11 @@
                 "status": result.status,
                 "detail": result.detail,
                 "revision": self._revision,
-                "heard_s_ago": round(self._now - self._heard_at, 2),
+                "heard_s_ago": (
+                    round(self._now - self._heard_at, 2)
+                    if self._heard_at
+                    else None
+                ),
             },
         )
         self._sources.avoid(self._source, self._now)
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -3,6 +3,7 @@
 from bramleyfork.core import verdicts
 from bramleyfork.entry import carriage
 from bramleyfork.entry import declarations
+from bramleyfork.entry import feeds
 from bramleyfork.entry import fleet
 from bramleyfork.entry.controllers import exchanges as controller
 from tests.entry import boards
@@ -106,6 +107,17 @@
     assert find_header(response, b"Retry-After")
 
 
+@pytest.mark.parametrize(("is_lost", "delay"), [(False, 0.25), (True, 2.0)])
+def test_callers_come_back_when_the_feed_may_be_there(is_lost, delay):
+    # Guards against callers that use up their repeats while the store is away.
+    fed = boards.FedBoard(controller.Exchanges)
+    state = feeds.FeedState(revision=0, heard_at=0.0, is_lost=is_lost)
+    fed.put("feed_state", "current", state)
+    ask(fed)
+    (response,) = fed.take("responses")
+    assert float(find_header(response, b"Retry-After")) == delay
+
+
 def test_no_target_is_an_early_refusal_that_says_when_to_come_back():
     fed = start_single()
     fed.remove("usable", "s1")
