--- a/src/bramleyfork/entry/controllers/_dispatcher.py
+++ b/src/bramleyfork/entry/controllers/_dispatcher.py
@@ -190,7 +190,7 @@
                 request=exchange.request,
                 target=target,
                 deadline_at=exchange.deadline_at,
-                connection_limit=self.choice.find_connection_limit(target),
+                connection_limit=self.choice.limits.find(target),
                 reuses=exchange.route.idempotent,
             )
         )
--- a/src/bramleyfork/entry/controllers/_outcomes.py
+++ b/src/bramleyfork/entry/controllers/_outcomes.py
@@ -39,13 +39,14 @@
     return ((b"Retry-After", b"%.2f" % retry_after_s),)
 
 
-def find_retry_delay(feed: feeds.FeedState | None) -> float:
-    """Returns when a caller should come back to a host that knows no routes.
+def find_retry_delay(reason: str, feed: feeds.FeedState | None) -> float:
+    """Returns seconds after which a refused caller should come back.
 
     Args:
+      reason: Why it was refused.
       feed: The feed's state; None at the start of the process.
     """
-    if feed is not None and feed.is_lost:
+    if reason == "no_routes" and feed is not None and feed.is_lost:
         return FEED_RETRY_AFTER_S
     return RETRY_AFTER_S
 
--- a/src/bramleyfork/entry/controllers/_target_choice.py
+++ b/src/bramleyfork/entry/controllers/_target_choice.py
@@ -5,10 +5,10 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import parts
+from bramleyfork.entry.controllers import _connection_limits
 from bramleyfork.entry.controllers import _exchange
 from bramleyfork.entry.controllers import _target_stats
 from bramleyfork.entry.decisions import budgets
-from bramleyfork.entry.decisions import placement
 from bramleyfork.entry.decisions import ranking
 
 # Round trips assumed before a target has been measured.
@@ -29,17 +29,15 @@
     Args:
       context: What the process knows of itself.
       usable: Targets that may be used, by service.
-      members: Hosts by name.
+      limits: This host's part of the targets' connections.
       listed: Listed targets by id.
-      routes: The route table in force.
     """
 
     __slots__ = (
         "_settings",
         "_usable",
-        "_members",
+        "limits",
         "_listed",
-        "_routes",
         "_listed_version",
         "_stats",
         "_budgets",
@@ -50,15 +48,13 @@
         *,
         context: parts.Context,
         usable: blackboard.Table,
-        members: blackboard.Table,
+        limits: _connection_limits.ConnectionLimits,
         listed: blackboard.Table,
-        routes: blackboard.Table,
     ):
         self._settings = context.settings
         self._usable = usable
-        self._members = members
+        self.limits = limits
         self._listed = listed
-        self._routes = routes
         self._listed_version = 0
         self._stats = _target_stats.StatsTable()
         self._budgets: dict[str, budgets.ExtraBudget] = {}
@@ -145,18 +141,6 @@
         is_own = target.data_centre == self._settings.data_centre
         return "" if is_own else target.data_centre
 
-    def find_connection_limit(self, target: declarations.ListedTarget) -> int:
-        """Returns the most connections of this host to a target."""
-        table = self._routes.get("current")
-        service = table.services.get(target.service) if table else None
-        if service is None:
-            return 1
-        return placement.find_connection_limit(
-            service.connection_limit,
-            host_count=len(self._members),
-            region_count=len(set(self._settings.regions.values())),
-        )
-
     # Budgets.
 
     def note_request(self, service: str, now: float) -> None:
--- a/src/bramleyfork/entry/controllers/carriers.py
+++ b/src/bramleyfork/entry/controllers/carriers.py
@@ -8,8 +8,8 @@
 from bramleyfork.entry import carriage
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import parts
+from bramleyfork.entry.controllers import _connection_limits
 from bramleyfork.entry.decisions import gathers
-from bramleyfork.entry.decisions import placement
 
 _LOG = logging.getLogger("bramleyfork.decisions")
 
@@ -54,7 +54,14 @@
 class Carriers(parts.Part):
     """Sends attempts of other hosts and returns what came of them."""
 
-    __slots__ = ("_calls", "_attempts", "_numbers", "_timers", "_now")
+    __slots__ = (
+        "_calls",
+        "_attempts",
+        "_numbers",
+        "_timers",
+        "_limits",
+        "_now",
+    )
 
     def start(self) -> None:
         """Sets up state before the first step."""
@@ -64,6 +71,11 @@
         # Below zero, apart from the attempts for this host's own callers.
         self._numbers = itertools.count(-1, -1)
         self._timers: list[tuple[float, int, tuple[int, int]]] = []
+        self._limits = _connection_limits.ConnectionLimits(
+            settings=self.context.settings,
+            members=self.table("members"),
+            routes=self.table("route_table"),
+        )
         self._now = 0.0
 
     def step(self, now: float) -> float | None:
@@ -114,7 +126,7 @@
                     request=record.request,
                     target=target,
                     deadline_at=self._now + record.wait_s,
-                    connection_limit=self._find_connection_limit(target),
+                    connection_limit=self._limits.find(target),
                 )
             )
         self.context.metrics.count("carried_calls")
@@ -133,15 +145,6 @@
                 return target
         return None
 
-    def _find_connection_limit(self, target) -> int:
-        table = self.table("route_table").get("current")
-        service = table.services.get(target.service) if table else None
-        return placement.find_connection_limit(
-            service.connection_limit if service else 0,
-            host_count=len(self.table("members")),
-            region_count=len(set(self.context.settings.regions.values())),
-        )
-
     def _take_reply(self, reply: exchanges.Reply) -> None:
         found = self._attempts.pop(reply.attempt, None)
         if found is None:
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -12,6 +12,7 @@
 from bramleyfork.entry import parts
 from bramleyfork.entry.controllers import _beginnings
 from bramleyfork.entry.controllers import _carrier_choice
+from bramleyfork.entry.controllers import _connection_limits
 from bramleyfork.entry.controllers import _dispatcher
 from bramleyfork.entry.controllers import _exchange
 from bramleyfork.entry.controllers import _outcomes
@@ -68,9 +69,12 @@
             choice=_target_choice.TargetChoice(
                 context=self.context,
                 usable=self.table("usable"),
-                members=self.table("members"),
+                limits=_connection_limits.ConnectionLimits(
+                    settings=self.context.settings,
+                    members=self.table("members"),
+                    routes=self.table("route_table"),
+                ),
                 listed=self.table("listed_targets"),
-                routes=self.table("route_table"),
             ),
             carriers=_carrier_choice.CarrierChoice(
                 members=self.table("members")
@@ -371,14 +375,13 @@
     ) -> None:
         """Answers a request of which nothing was sent."""
         feed = self.table("feed_state").get("current")
-        retry_after_s = _outcomes.RETRY_AFTER_S
-        if reason == "no_routes":
-            retry_after_s = _outcomes.find_retry_delay(feed)
         self.writer("responses").append(
             exchanges.Response(
                 key=request.key,
                 status=status,
-                headers=_outcomes.build_refusal_headers(status, retry_after_s),
+                headers=_outcomes.build_refusal_headers(
+                    status, _outcomes.find_retry_delay(reason, feed)
+                ),
             )
         )
         self.context.metrics.count("requests_refused", reason)
--- a/src/bramleyfork/entry/decisions/budgets.py
+++ b/src/bramleyfork/entry/decisions/budgets.py
@@ -33,16 +33,11 @@
         self._find_bucket(now)[1] += 1
         self.requests += 1
 
-    def take(self, now: float, *, reserve: float = 0.0) -> bool:
-        """Takes one extra attempt; returns False if none is left.
-
-        Args:
-          now: Monotonic seconds.
-          reserve: Part of the budget, 0 to 1, that must stay free.
-        """
+    def take(self, now: float) -> bool:
+        """Takes one extra attempt; returns False if none is left."""
         bucket = self._find_bucket(now)
         allowed = self.ratio * self.requests + self.slack
-        if self.extras + 1 > allowed * (1.0 - reserve):
+        if self.extras + 1 > allowed:
             return False
         bucket[2] += 1
         self.extras += 1
--- a/src/bramleyfork/entry/transports/feed_peers.py
+++ b/src/bramleyfork/entry/transports/feed_peers.py
@@ -68,7 +68,10 @@
         return link
 
     def step(self, now: float) -> float | None:
-        """Sends reads, and answers those whose change or time has come."""
+        """Sends reads, and answers those whose change has come.
+
+        A timer of its own ends each watch that stays quiet.
+        """
         for read in self.take("feed_reads"):
             if read.source is not None:
                 self._ask(read)
@@ -80,7 +83,7 @@
             else:
                 waiting.link.send(result)
         self._waiting = still
-        return min((each.until for each in still), default=None)
+        return None
 
     # Asking.
 
