Count the work of a leaving host with each request

Cause: a host that ends stops as soon as its count of open work is zero. Ruled out: the platform's kill (4.2 s after SIGTERM, grace is 6 s) and targets (they were at work).

Change: the count is written with each request, opened and closed connection, and names the phase; only a count made since the listener closed ends the process.

--- a/src/bramleyfork/entry/controllers/lifecycle.py
+++ b/src/bramleyfork/entry/controllers/lifecycle.py
@@ -66,13 +66,20 @@
         if self._phase == LEAVING and now >= close_at:
             self._enter(CLOSING)
         if self._phase == CLOSING:
-            work = self.table("open_work").get("current")
-            if now >= stop_at or work == (0, 0):
+            if now >= stop_at or self._is_idle():
                 self._enter(STOPPED)
                 return None
             return stop_at
         return close_at
 
+    def _is_idle(self) -> bool:
+        """Returns whether nothing was left since the listener closed.
+
+        A count made before says nothing of callers that came since.
+        """
+        work = self.table("open_work").get("current")
+        return work is not None and work.phase == CLOSING and work.is_none
+
     def _enter(self, phase: str) -> None:
         self._phase = phase
         self.writer("lifecycle").put("current", Phase(phase=phase))
--- a/src/bramleyfork/entry/exchanges.py
+++ b/src/bramleyfork/entry/exchanges.py
@@ -230,3 +230,25 @@
         self.target = target
         self.is_healthy = is_healthy
         self.warmup_s = warmup_s
+
+
+class OpenWork(records.Record):
+    """What a host that ends has to wait for.
+
+    Attributes:
+      phase: Phase of the process that the count was made in.
+      requests: Requests under way.
+      connections: Connections of callers.
+    """
+
+    __slots__ = ("phase", "requests", "connections")
+
+    def __init__(self, *, phase: str, requests: int, connections: int):
+        self.phase = phase
+        self.requests = requests
+        self.connections = connections
+
+    @property
+    def is_none(self) -> bool:
+        """Whether nothing is left."""
+        return not self.requests and not self.connections
--- a/src/bramleyfork/entry/transports/callers.py
+++ b/src/bramleyfork/entry/transports/callers.py
@@ -48,7 +48,7 @@
         self._keys: dict[http_server.ServerConnection, int] = {}
         self._next_key = 1
         self._swept_at = 0.0
-        self._reported = (-1, -1)
+        self._reported: exchanges.OpenWork | None = None
 
     async def open(self) -> None:
         """Listens for callers."""
@@ -81,11 +81,21 @@
         if now >= self._swept_at + _SWEEP_S:
             self._swept_at = now
             self._sweep(now)
-        work = (len(self._busy), len(self._connections))
-        if work != self._reported and self.is_closing:
+        self._report_work()
+        return self._swept_at + _SWEEP_S
+
+    def _report_work(self) -> None:
+        """Tells the lifecycle what is left, with each change of it."""
+        if not self.is_closing:
+            return
+        work = exchanges.OpenWork(
+            phase=self.table("lifecycle").get("current").phase,
+            requests=len(self._busy),
+            connections=len(self._connections),
+        )
+        if work != self._reported:
             self._reported = work
             self.writer("open_work").put("current", work)
-        return self._swept_at + _SWEEP_S
 
     def _follow_tables(self) -> None:
         table = self.table("route_table").get("current")
@@ -124,6 +134,7 @@
     def note_opened(self, connection: http_server.ServerConnection) -> None:
         """Notes a new connection."""
         self._connections.add(connection)
+        self._report_work()
 
     def note_closed(self, connection: http_server.ServerConnection) -> None:
         """Tells the controllers that a caller has left."""
@@ -131,6 +142,7 @@
         key = self._keys.pop(connection, None)
         if key is not None and self._busy.pop(key, None) is not None:
             self.writer("departures").append(key)
+        self._report_work()
 
     def take_request(
         self,
@@ -146,6 +158,7 @@
         self._busy[request.key] = connection
         self._keys[connection] = request.key
         self.writer("requests").append(request)
+        self._report_work()
 
     def _read_request(
         self,
--- a/tests/entry/controllers/test_entry_lifecycle.py
+++ b/tests/entry/controllers/test_entry_lifecycle.py
@@ -1,3 +1,4 @@
+from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import lifecycle as controller
 from tests.entry import boards
 from tests.entry import creators
@@ -21,6 +22,14 @@
     fed.step()
 
 
+def report(fed, requests, connections, phase=controller.CLOSING):
+    work = exchanges.OpenWork(
+        phase=phase, requests=requests, connections=connections
+    )
+    fed.put("open_work", "current", work)
+    fed.step()
+
+
 def test_a_host_serves_until_it_is_told_to_end():
     fed = start()
     fed.step(100.0)
@@ -42,18 +51,17 @@
     fed = start()
     terminate(fed)
     fed.step(3.1)
-    fed.put("open_work", "current", (1, 2))
+    report(fed, 1, 2)
     fed.step(0.5)
     assert find_phase(fed) == controller.CLOSING
-    fed.put("open_work", "current", (0, 0))
-    fed.step()
+    report(fed, 0, 0)
     assert find_phase(fed) == controller.STOPPED
 
 
 def test_the_process_ends_before_it_is_killed():
     fed = start()
     terminate(fed)
-    fed.put("open_work", "current", (1, 2))
+    report(fed, 1, 2)
     fed.step(5.9)
     assert find_phase(fed) == controller.STOPPED
 
@@ -65,3 +73,17 @@
     terminate(fed)
     fed.step(1.1)
     assert find_phase(fed) == controller.CLOSING
+
+
+def test_a_count_from_before_the_listener_closed_ends_nothing():
+    # Guards against requests that are cut as they came after the last count of
+    # a leaving host (waagner-bramley, mix --seed 132486766007).
+    fed = start()
+    terminate(fed)
+    report(fed, 0, 0, phase=controller.LEAVING)
+    fed.step(3.1)
+    assert find_phase(fed) == controller.CLOSING
+    report(fed, 1, 1)
+    assert find_phase(fed) == controller.CLOSING
+    report(fed, 0, 0)
+    assert find_phase(fed) == controller.STOPPED
--- a/tests/entry/transports/test_entry_callers.py
+++ b/tests/entry/transports/test_entry_callers.py
@@ -269,7 +269,23 @@
                 await connect(fed)
             respond(fed, request)
             assert (await read_response(reader))[0] == 200
-            await live.wait_for(lambda: fed.get("open_work") == (0, 0))
+            await live.wait_for(lambda: fed.get("open_work").is_none)
+
+    run(work)
+
+
+def test_a_leaving_host_counts_each_request_as_it_comes():
+    # Guards against a count that is as old as the last response.
+    async def work():
+        async with run_callers() as fed:
+            fed.put("lifecycle", "current", lifecycle.Phase(phase="leaving"))
+            await live.wait_for(lambda: fed.get("open_work"))
+            assert fed.get("open_work").is_none
+            _, writer = await connect(fed)
+            writer.write(VALID)
+            await take_request(fed)
+            found = fed.get("open_work")
+            assert (found.phase, found.requests) == ("leaving", 1)
 
     run(work)
 
