Let pages, checks of files and reports share one piece each

Found on reading the whole change once more: - The pages of the platform and of the project were twins; both are now thin subclasses of entry/transports/pages.Pages. - Reading a file with its problem, and the check that addresses differ, stood in the settings of the daemon and again in bramleyfork.standalone: manifests.read_file and tables.check_distinct serve both. The log levels too. - check-entry built its refusals anew: commands/reports serves it and the other commands on files. Its texts become those of its siblings, and values are shortened in the same way; a date in a file could not be written as JSON before. - Tests found free ports in two ways. - The limit of sends per shard is used in one module only.

Left as they are: tables of options, which are data, and the likeness of their rows.

--- a/src/bramleyfork/commands/configuration.py
+++ b/src/bramleyfork/commands/configuration.py
@@ -1,19 +1,16 @@
 """Commands that check and prepare configurations without a network."""
 
-import collections.abc
 import os
 import pathlib
 import re
 
 from bramleyfork.commands import registry
+from bramleyfork.commands import reports
 from bramleyfork.configuration import declaration
 from bramleyfork.configuration import manifests
 from bramleyfork.configuration import settings
-from bramleyfork.configuration import tables
 from bramleyfork.core import declarations
 
-_OK, _REFUSED, _USAGE = 0, 1, 2
-
 
 @registry.COMMANDS.register("check")
 def check_path(
@@ -21,19 +18,23 @@
 ) -> registry.Result:
     """Checks the folder of a declaration or a settings file: check PATH."""
     if len(arguments) != 1:
-        return _report_usage("check PATH", arguments)
+        return reports.report_usage("check PATH", arguments)
     path = pathlib.Path(arguments[0])
     if path.is_dir():
         return _check_folder(path)
     loaded = settings.load_settings(path)
     if loaded.is_error():
-        return _report_problems(loaded.error, f"{path}: settings refused")
+        return reports.report_problems(
+            loaded.error, f"{path}: settings refused"
+        )
     rows = [
         {"key": option.key, "value": getattr(loaded.ok, option.key)}
         for option in settings.OPTIONS
     ]
     return registry.Result(
-        exit_code=_OK, rows=rows, message=f"{path}: settings accepted"
+        exit_code=registry.EXIT_OK,
+        rows=rows,
+        message=f"{path}: settings accepted",
     )
 
 
@@ -49,19 +50,19 @@
     """
     usage = "publish-manifest PATH [REVISION]"
     if len(arguments) not in (1, 2):
-        return _report_usage(usage, arguments)
+        return reports.report_usage(usage, arguments)
     if not re.fullmatch("[1-9][0-9]{0,18}", (arguments[1:] or ["1"])[0]):
-        return _report_usage(usage, arguments)
+        return reports.report_usage(usage, arguments)
     folder = pathlib.Path(arguments[0])
     if not folder.is_dir():
-        return _report_usage(usage, arguments)
+        return reports.report_usage(usage, arguments)
     read = manifests.read_folder(folder)
     if read.is_error():
-        return _report_problems(read.error, f"{folder}: nothing written")
+        return reports.report_problems(read.error, f"{folder}: nothing written")
     revision = _choose_revision(read.ok, arguments[1:])
     if revision is None:
         return registry.Result(
-            exit_code=_OK,
+            exit_code=registry.EXIT_OK,
             rows=[],
             message=f"{folder}: the manifest is up to date; nothing written",
         )
@@ -70,10 +71,12 @@
         read.ok | {manifests.MANIFEST_KEY: body}
     )
     if checked.is_error():
-        return _report_problems(checked.error, f"{folder}: nothing written")
+        return reports.report_problems(
+            checked.error, f"{folder}: nothing written"
+        )
     _write_whole(folder / manifests.MANIFEST_FILE, body)
     return registry.Result(
-        exit_code=_OK,
+        exit_code=registry.EXIT_OK,
         rows=[_summarise(checked.ok)],
         message=f"{folder}: wrote {manifests.MANIFEST_FILE}",
     )
@@ -83,9 +86,11 @@
     read = manifests.read_folder(folder)
     checked = read.bind(declaration.check_declaration)
     if checked.is_error():
-        return _report_problems(checked.error, f"{folder}: declaration refused")
+        return reports.report_problems(
+            checked.error, f"{folder}: declaration refused"
+        )
     return registry.Result(
-        exit_code=_OK,
+        exit_code=registry.EXIT_OK,
         rows=[_summarise(checked.ok)],
         message=f"{folder}: declaration accepted",
     )
@@ -126,31 +131,3 @@
         "targets": len(accepted.targets),
         "lookups": len(accepted.lookups),
     }
-
-
-def _report_problems(
-    problems: collections.abc.Sequence[tables.Problem], message: str
-) -> registry.Result:
-    rows = [
-        {
-            "file": problem.file,
-            "key": problem.key,
-            "value": tables.shorten(problem.value),
-            "allowed": problem.allowed,
-            "advice": problem.advice,
-        }
-        for problem in problems
-    ]
-    return registry.Result(
-        exit_code=_REFUSED,
-        rows=rows,
-        message=f"{message}; problems: {len(rows)}",
-    )
-
-
-def _report_usage(usage: str, arguments: list[str]) -> registry.Result:
-    return registry.Result(
-        exit_code=_USAGE,
-        rows=[],
-        message=f"usage: bramleyfork {usage}; got {arguments!r}",
-    )
--- a/src/bramleyfork/commands/entries.py
+++ b/src/bramleyfork/commands/entries.py
@@ -1,7 +1,7 @@
 """The command that checks the files of an entry host that runs from them."""
 
 from bramleyfork.commands import registry
-from bramleyfork.configuration import tables
+from bramleyfork.commands import reports
 from bramleyfork.standalone import declaration
 from bramleyfork.standalone import settings
 
@@ -13,18 +13,16 @@
     """Checks settings and the declaration that they name: check-entry FILE."""
     del options
     if len(arguments) != 1:
-        return registry.Result(
-            exit_code=registry.EXIT_USAGE,
-            rows=[],
-            message=f"usage: check-entry FILE, not {arguments!r}",
-        )
+        return reports.report_usage("check-entry FILE", arguments)
     (path,) = arguments
     loaded = settings.load_settings(path)
     if loaded.is_error():
-        return _refuse(loaded.error, f"{path}: settings refused")
+        return reports.report_problems(
+            loaded.error, f"{path}: settings refused"
+        )
     declared = declaration.load_declaration(loaded.ok.declaration_file)
     if declared.is_error():
-        return _refuse(
+        return reports.report_problems(
             declared.error,
             f"{loaded.ok.declaration_file}: declaration refused",
         )
@@ -41,22 +39,3 @@
         ],
         message=f"{path}: accepted",
     )
-
-
-def _refuse(
-    problems: tuple[tables.Problem, ...], message: str
-) -> registry.Result:
-    return registry.Result(
-        exit_code=registry.EXIT_REFUSED,
-        rows=[
-            {
-                "file": problem.file,
-                "key": problem.key,
-                "value": problem.value,
-                "allowed": problem.allowed,
-                "advice": problem.advice,
-            }
-            for problem in problems
-        ],
-        message=message,
-    )
--- /dev/null
+++ b/src/bramleyfork/commands/reports.py
@@ -0,0 +1,36 @@
+"""Results of commands that check files."""
+
+import collections.abc
+
+from bramleyfork.commands import registry
+from bramleyfork.configuration import tables
+
+
+def report_problems(
+    problems: collections.abc.Sequence[tables.Problem], message: str
+) -> registry.Result:
+    """Returns the result of a file that was refused, a row for each problem."""
+    rows = [
+        {
+            "file": problem.file,
+            "key": problem.key,
+            "value": tables.shorten(problem.value),
+            "allowed": problem.allowed,
+            "advice": problem.advice,
+        }
+        for problem in problems
+    ]
+    return registry.Result(
+        exit_code=registry.EXIT_REFUSED,
+        rows=rows,
+        message=f"{message}; problems: {len(rows)}",
+    )
+
+
+def report_usage(usage: str, arguments: list[str]) -> registry.Result:
+    """Returns the result of a command that was called in a wrong way."""
+    return registry.Result(
+        exit_code=registry.EXIT_USAGE,
+        rows=[],
+        message=f"usage: bramleyfork {usage}; got {arguments!r}",
+    )
--- a/src/bramleyfork/configuration/manifests.py
+++ b/src/bramleyfork/configuration/manifests.py
@@ -138,6 +138,23 @@
     return hashlib.sha256(body).hexdigest()
 
 
+def read_file(
+    path: str | pathlib.Path, allowed: str
+) -> expression.Result[bytes, tuple[tables.Problem, ...]]:
+    """Returns the content of a file; ``allowed`` says what should be there."""
+    try:
+        return expression.Ok(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        problem = tables.Problem(
+            file=str(path),
+            key="content",
+            value=None,
+            allowed=allowed,
+            advice=f"{error.strerror}; check the path",
+        )
+        return expression.Error((problem,))
+
+
 def parse_toml(
     body: bytes, file: str
 ) -> expression.Result[dict[str, typing.Any], tuple[tables.Problem, ...]]:
--- a/src/bramleyfork/configuration/settings.py
+++ b/src/bramleyfork/configuration/settings.py
@@ -182,40 +182,19 @@
       path: A TOML file with the keys of OPTIONS.
     """
     file = str(path)
-    try:
-        body = pathlib.Path(path).read_bytes()
-    except OSError as error:
-        problem = tables.Problem(
-            file=file,
-            key="content",
-            value=None,
-            allowed="a readable settings file",
-            advice=f"{error.strerror}; check the path",
-        )
-        return expression.Error((problem,))
-    checked = manifests.parse_toml(body, file).bind(
-        lambda values: tables.check_options(OPTIONS, values, file=file)
+    return (
+        manifests.read_file(path, "a readable settings file")
+        .bind(lambda body: manifests.parse_toml(body, file))
+        .bind(lambda values: tables.check_options(OPTIONS, values, file=file))
+        .bind(lambda values: _build_settings(values, file))
     )
-    return checked.bind(lambda values: _build_settings(values, file))
 
 
 def _build_settings(
     values: dict, file: str
 ) -> expression.Result[Settings, tuple[tables.Problem, ...]]:
-    problems = []
-    seen: dict[str, str] = {}
-    for key in ("peer_address", "caller_address", "administration_address"):
-        address = values[key]
-        if address in seen:
-            problems.append(
-                tables.Problem(
-                    file=file,
-                    key=key,
-                    value=address,
-                    allowed=f"an address other than {seen[address]}",
-                )
-            )
-        seen.setdefault(address, key)
+    addresses = ("peer_address", "caller_address", "administration_address")
+    problems = tables.check_distinct(values, addresses, file=file)
     if problems:
         return expression.Error(tuple(problems))
     incarnation = time.time_ns() // 1_000_000
--- a/src/bramleyfork/configuration/tables.py
+++ b/src/bramleyfork/configuration/tables.py
@@ -178,6 +178,36 @@
     return expression.Ok(checked)
 
 
+def check_distinct(
+    values: dict[str, typing.Any],
+    keys: collections.abc.Iterable[str],
+    *,
+    file: str,
+) -> list[Problem]:
+    """Returns a problem for each key whose value another one has before it.
+
+    Args:
+      values: Checked values by key; None stands for an option left out.
+      keys: Keys whose values must differ.
+      file: File named in problems.
+    """
+    problems = []
+    seen: dict[typing.Any, str] = {}
+    for key in keys:
+        value = values[key]
+        if value is not None and value in seen:
+            problems.append(
+                Problem(
+                    file=file,
+                    key=key,
+                    value=value,
+                    allowed=f"an address other than {seen[value]}",
+                )
+            )
+        seen.setdefault(value, key)
+    return problems
+
+
 def _report_unknown(
     file: str,
     prefix: str,
--- a/src/bramleyfork/entry/controllers/_dispatcher.py
+++ b/src/bramleyfork/entry/controllers/_dispatcher.py
@@ -26,7 +26,7 @@
 _RETRY_GROWTH = 2.0
 # Most sends per shard; failures that did not run don't count as attempts, and
 # this bounds how often they are repeated.
-SEND_LIMIT = 6
+_SEND_LIMIT = 6
 _HEDGE_STEP_S = 0.002  # Hedges of a request are sent together in such steps.
 
 
@@ -238,7 +238,7 @@
         self, exchange: _exchange.Exchange, shard: _exchange.Shard
     ) -> bool:
         """Sends one more attempt if a target and the budget allow it."""
-        if shard.sends >= SEND_LIMIT:
+        if shard.sends >= _SEND_LIMIT:
             return False
         target = self.choice.choose(exchange.route, shard, self.now)
         if target is None:
@@ -304,7 +304,7 @@
     ran = sum(v is not verdicts.Verdict.NOT_RUN for v in shard.verdicts)
     if not route.idempotent and ran:
         return False
-    if shard.sends >= SEND_LIMIT:
+    if shard.sends >= _SEND_LIMIT:
         return False
     if ran < route.attempts:
         return True
--- a/src/bramleyfork/standalone/declaration.py
+++ b/src/bramleyfork/standalone/declaration.py
@@ -302,7 +302,7 @@
     Args:
       path: A TOML file with the tables services, routes and targets.
     """
-    return settings.read_file(path, "a readable declaration").bind(
+    return manifests.read_file(path, "a readable declaration").bind(
         lambda body: read_declaration(body, path)
     )
 
--- a/src/bramleyfork/standalone/pages.py
+++ b/src/bramleyfork/standalone/pages.py
@@ -1,14 +1,10 @@
 """The pages of a host that runs from files."""
 
-import json
 import urllib.parse
 
 from bramleyfork.entry import directories
-from bramleyfork.entry import exchanges
 from bramleyfork.entry import parts
-from bramleyfork.entry.transports import http_server
-
-_JSON = ((b"Content-Type", b"application/json"),)
+from bramleyfork.entry.transports import pages
 
 
 @parts.register(
@@ -17,44 +13,30 @@
     role="pages",
     peeks=directories.Directory.TABLES,
 )
-class HostPages(parts.Part):
+class HostPages(pages.Pages):
     """Answers ``/hosts`` for callers and ``/ready`` for operators."""
 
-    __slots__ = ("_listener", "_directory")
-
-    def start(self) -> None:
-        """Sets up state before the first step."""
-        self._listener = http_server.Listener(answer=self._answer)
-        self._directory = directories.Directory(
-            regions=self.context.settings.regions,
-            tables={name: self.table(name) for name in self.peeks},
-        )
-
-    async def open(self) -> None:
-        """Listens on the address in the settings."""
-        await self._listener.open(self.context.settings.pages_address)
+    __slots__ = ()
 
-    def close(self) -> None:
-        """Closes listeners and connections."""
-        self._listener.close()
+    def list_addresses(self) -> tuple[tuple[str, int], ...]:
+        """Returns the address in the settings."""
+        return (self.context.settings.pages_address,)
 
-    def _answer(
-        self, head: http_server.Head
-    ) -> tuple[int, exchanges.Headers, bytes]:
-        path, _, query = head.url.decode("latin-1").partition("?")
+    def answer(self, path: str, query: str) -> pages.Page:
+        """Returns status, headers and body for a request."""
         if path == "/ready":
-            return (200 if self._directory.is_ready() else 503), (), b""
+            return self.answer_readiness()
         if path != "/hosts":
             return 404, (), b""
         fields = urllib.parse.parse_qs(query)
-        found = self._directory.choose_hosts(
+        found = self.directory.choose_hosts(
             fields.get("host", [""])[0].lower(),
             fields.get("region", [""])[0],
         )
-        body = json.dumps(
+        return pages.build_page(
+            200 if found else 503,
             {
                 "hosts": found,
                 "lifetime_s": self.context.settings.directory_lifetime_s,
-            }
+            },
         )
-        return (200 if found else 503), _JSON, body.encode()
--- a/src/bramleyfork/standalone/settings.py
+++ b/src/bramleyfork/standalone/settings.py
@@ -6,11 +6,11 @@
 import expression
 
 from bramleyfork.configuration import manifests
+from bramleyfork.configuration import settings as daemon_settings
 from bramleyfork.configuration import tables
 from bramleyfork.entry import settings
 
 ADAPTERS = ("declaration_file", "host_pages")
-LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
 @tables.VALIDATORS.register("names_by_name")
@@ -147,7 +147,7 @@
         key="log_level",
         type="choice",
         default="INFO",
-        choices=LOG_LEVELS,
+        choices=daemon_settings.LOG_LEVELS,
         purpose="Lowest level of logs written.",
     ),
 )
@@ -198,30 +198,13 @@
     """
     file = str(path)
     return (
-        read_file(path, "a readable settings file")
+        manifests.read_file(path, "a readable settings file")
         .bind(lambda body: manifests.parse_toml(body, file))
         .bind(lambda values: tables.check_options(OPTIONS, values, file=file))
         .bind(lambda values: _build_settings(values, file))
     )
 
 
-def read_file(
-    path: str | pathlib.Path, allowed: str
-) -> expression.Result[bytes, tuple[tables.Problem, ...]]:
-    """Returns the content of a file, or the problem in ``allowed``'s terms."""
-    try:
-        return expression.Ok(pathlib.Path(path).read_bytes())
-    except OSError as error:
-        problem = tables.Problem(
-            file=str(path),
-            key="content",
-            value=None,
-            allowed=allowed,
-            advice=f"{error.strerror}; check the path",
-        )
-        return expression.Error((problem,))
-
-
 def split_address(text: str) -> tuple[str, int]:
     """Returns IP address and port of a checked address."""
     ip, _, port = text.rpartition(":")
@@ -241,19 +224,7 @@
                 allowed="one of " + ", ".join(sorted(values["regions"])),
             )
         )
-    seen: dict[str, str] = {}
-    for key in _ADDRESSES:
-        address = values[key]
-        if address is not None and address in seen:
-            problems.append(
-                tables.Problem(
-                    file=file,
-                    key=key,
-                    value=address,
-                    allowed=f"an address other than {seen[address]}",
-                )
-            )
-        seen.setdefault(address, key)
+    problems += tables.check_distinct(values, _ADDRESSES, file=file)
     if problems:
         return expression.Error(tuple(problems))
     limits = {name: values.pop(key) for name, key in _RETRY_KEYS.items()}
--- a/tests/entry/transports/test_entry_callers.py
+++ b/tests/entry/transports/test_entry_callers.py
@@ -1,6 +1,5 @@
 import asyncio
 import contextlib
-import socket
 
 import pytest
 
@@ -10,20 +9,15 @@
 from bramleyfork.entry.transports import callers
 from tests.entry import creators
 from tests.entry import live
+from tests.entry import ports
 
 HEAD = b"GET /find/x?q=1 HTTP/1.1\r\nHost: A.example:80\r\n"
 VALID = HEAD + b"Request-Id: r1\r\nDeadline-Ms: 500\r\n\r\n"
 
 
-def find_free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 @contextlib.asynccontextmanager
 async def run_callers(**limits):
-    port = find_free_port()
+    (port,) = ports.find_ports(1)
     settings = creators.create_settings(caller_address=("127.0.0.1", port))
     context = creators.create_context(settings=settings)
     async with live.run_part(callers.Callers, context) as fed:
--- a/tests/entry/transports/test_entry_carriers_transport.py
+++ b/tests/entry/transports/test_entry_carriers_transport.py
@@ -6,12 +6,12 @@
 from bramleyfork.entry.transports import carriers
 from tests.entry import creators
 from tests.entry import live
-from tests.entry.transports import test_entry_callers as callers
+from tests.entry import ports
 
 
 @contextlib.asynccontextmanager
 async def run_host():
-    address = ("127.0.0.1", callers.find_free_port())
+    address = ("127.0.0.1", ports.find_ports(1)[0])
     settings = creators.create_settings(carrier_address=address)
     context = creators.create_context(settings=settings)
     async with live.run_part(carriers.Carriers, context) as fed:
--- a/tests/entry/transports/test_entry_feed_peers.py
+++ b/tests/entry/transports/test_entry_feed_peers.py
@@ -11,13 +11,13 @@
 from bramleyfork.entry.transports import feed_peers
 from tests.entry import creators
 from tests.entry import live
+from tests.entry import ports
 from tests.entry.controllers import test_entry_feed as changes
-from tests.entry.transports import test_entry_callers as callers
 
 
 @contextlib.asynccontextmanager
 async def run_peer():
-    address = ("127.0.0.1", callers.find_free_port())
+    address = ("127.0.0.1", ports.find_ports(1)[0])
     settings = creators.create_settings(peer_address=address)
     context = creators.create_context(settings=settings)
     async with live.run_part(feed_peers.FeedPeers, context) as fed:
--- a/tests/entry/transports/test_entry_metrics.py
+++ b/tests/entry/transports/test_entry_metrics.py
@@ -6,6 +6,7 @@
 from bramleyfork.entry.transports import metrics
 from tests.entry import creators
 from tests.entry import live
+from tests.entry import ports
 from tests.entry.transports import test_entry_callers as callers
 
 
@@ -19,7 +20,7 @@
 
 def ask(path):
     async def work():
-        port = callers.find_free_port()
+        port = ports.find_ports(1)[0]
         settings = creators.create_settings(metrics_address=("127.0.0.1", port))
         context = creators.create_context(settings=settings)
         context.metrics.count("requests_finished", "complete")
