Let a watcher read the list of targets again each second after an outage

Before: the test of failed reads of a watcher asked for a last pause of 15 to 30 s, and had it. After: 0.5 to 1 s for a watcher; 15 to 30 s stay the bound of every other host.

--- a/src/bramleyfork/controllers/listing.py
+++ b/src/bramleyfork/controllers/listing.py
@@ -83,7 +83,7 @@
         self, result: platform_calls.PlatformResult, now: float
     ) -> None:
         if result.status != 200:
-            self._pace = pacing.fail_read(self._pace, now, self.settings.host)
+            self._note_failed_read(now)
             return
         self._pace = pacing.finish_read(
             self._pace, result.sent_at + self._choose_interval()
@@ -105,6 +105,14 @@
             self._pass_on(changed)
         self._read_at = now
 
+    def _note_failed_read(self, now: float) -> None:
+        longest_s = pacing.LONGEST_PAUSE_S
+        if self._watching:
+            longest_s = pacing.LONGEST_WATCHER_PAUSE_S
+        self._pace = pacing.fail_read(
+            self._pace, now, self.settings.host, longest_s
+        )
+
     def _pass_on(self, rows: list[fleet.Listed]) -> None:
         """Sends rows to the hosts below this one in its data centre."""
         self.writer("listing_out").extend(
@@ -136,7 +144,7 @@
 
     def _read(self, now: float) -> None:
         if pacing.is_lost(self._pace, now):
-            self._pace = pacing.fail_read(self._pace, now, self.settings.host)
+            self._note_failed_read(now)
         if not pacing.is_due(self._pace, now):
             return
         self.writer("listing_reads").append(
--- a/src/bramleyfork/decisions/pacing.py
+++ b/src/bramleyfork/decisions/pacing.py
@@ -8,9 +8,9 @@
 
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 30.0
-# Pause of a host that is known to be a watcher. Few hosts are, and after an
-# outage a configuration must be in force within seconds.
-LONGEST_WATCH_PAUSE_S = 1.0
+# The same for a host that knows itself to be a watcher. Few hosts are, and
+# after an outage news must be in force everywhere within seconds.
+LONGEST_WATCHER_PAUSE_S = 1.0
 FALLBACK_S = 30.0  # Without a message from a watcher.
 
 CALL_TIMEOUT_S = 3.0
@@ -205,13 +205,13 @@
     The declaration names the watchers, so a long pause from before ends.
     """
     watch = plan.watch.replace(
-        next_at=min(plan.watch.next_at, now + LONGEST_WATCH_PAUSE_S)
+        next_at=min(plan.watch.next_at, now + LONGEST_WATCHER_PAUSE_S)
     )
     return plan.replace(
         watch=watch,
         poll=plan.poll.replace(failures=0),
         poll_wanted=False,
-        longest_watch_pause_s=LONGEST_WATCH_PAUSE_S,
+        longest_watch_pause_s=LONGEST_WATCHER_PAUSE_S,
     )
 
 
--- a/tests/controllers/test_controllers_listing.py
+++ b/tests/controllers/test_controllers_listing.py
@@ -154,19 +154,35 @@
         assert node.table.get("b").state == state
 
 
-def test_failed_reads_keep_the_rows_and_back_off():
-    node = create_node(watching=True)
-    now, gaps = 1.0, []
+def measure_pauses(node):
+    """Returns the pauses after twelve reads that fail, seconds."""
+    now, gaps = 1000.0, []
     for _ in range(12):
         node.controller.step(now)
         wake = node.answer(now, status=0)
         gaps.append(wake - now)
         now = wake
+    return gaps
+
+
+def test_failed_reads_of_other_hosts_keep_the_rows_and_back_off():
+    node = create_node(watching=False)
+    gaps = measure_pauses(node)
     assert len(node.table) == 2
     assert gaps[0] <= 0.5
     assert 15.0 <= gaps[-1] <= 30.0
 
 
+def test_failed_reads_of_a_watcher_go_on_each_second():
+    # Guards against a target that leaves by the list after an outage and
+    # still gets work for up to 30 s, as no watcher reads the list.
+    node = create_node(watching=True)
+    gaps = measure_pauses(node)
+    assert len(node.table) == 2
+    assert gaps[0] <= 0.5
+    assert 0.5 <= gaps[-1] <= 1.0
+
+
 def test_rows_that_are_known_are_not_passed_on(monkeypatch):
     # Guards against updates that go round for ever while hosts have different
     # views of the tree.
