Refuse requests early while their targets are asked for more than they can do

A host now estimates the slots that requests of all hosts keep busy (its own rate, usual work, number of hosts) and, above 0.8 of the slots in use, refuses with 503 and Retry-After what is expected to miss its aim. A few requests under way are always let in, so the slots stay busy and the estimate stays fresh.

--- a/src/bramleyfork/entry/controllers/_connection_limits.py
+++ b/src/bramleyfork/entry/controllers/_connection_limits.py
@@ -30,8 +30,7 @@
 
     def find(self, target: declarations.ListedTarget) -> int:
         """Returns the most connections to a target, at least one."""
-        table = self._routes.get("current")
-        service = table.services.get(target.service) if table else None
+        service = self._find_service(target.service)
         if service is None:
             return 1
         return placement.find_connection_limit(
@@ -39,3 +38,18 @@
             host_count=len(self._members),
             region_count=self._region_count,
         )
+
+    def count_hosts(self, name: str) -> int:
+        """Returns how many hosts send to a service's targets, at least one."""
+        service = self._find_service(name)
+        if service is None:
+            return max(1, len(self._members))
+        return placement.count_hosts(
+            service.connection_limit,
+            host_count=len(self._members),
+            region_count=self._region_count,
+        )
+
+    def _find_service(self, name: str) -> declarations.Service | None:
+        table = self._routes.get("current")
+        return table.services.get(name) if table else None
--- a/src/bramleyfork/entry/controllers/_target_choice.py
+++ b/src/bramleyfork/entry/controllers/_target_choice.py
@@ -1,5 +1,7 @@
 """Which target a shard's next attempt goes to."""
 
+import math
+
 from bramleyfork.core import blackboard
 from bramleyfork.core import verdicts
 from bramleyfork.entry import declarations
@@ -127,6 +129,33 @@
             fault_rate=stats.fault_rate,
         )
 
+    def expect_delay(
+        self, route: declarations.Route, service: str, now: float
+    ) -> float:
+        """Returns the usual seconds to a reply of the fastest target."""
+        return min(
+            (
+                self._expect_latency(target, now)
+                for target in self._list(route, service)
+            ),
+            default=math.inf,
+        )
+
+    def _expect_latency(
+        self, target: declarations.ListedTarget, now: float
+    ) -> float:
+        stats = self._stats.find(target)
+        return ranking.expect_latency(
+            now=now,
+            distance_s=_DISTANCES_S[self.find_distance(target)],
+            latency_s=stats.latency_s,
+            latency_at=stats.latency_at,
+        )
+
+    def count_slots(self, route: declarations.Route, service: str) -> int:
+        """Returns the slots of a service's targets in use."""
+        return sum(target.slots for target in self._list(route, service))
+
     def find_distance(self, target: declarations.ListedTarget) -> str:
         """Returns the distance class of a target, a key of _DISTANCES_S."""
         settings = self._settings
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -10,6 +10,7 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import parts
+from bramleyfork.entry.controllers import _admission
 from bramleyfork.entry.controllers import _beginnings
 from bramleyfork.entry.controllers import _carrier_choice
 from bramleyfork.entry.controllers import _connection_limits
@@ -56,6 +57,7 @@
         "_dispatcher",
         "_switch",
         "_beginnings",
+        "_admission",
         "_random",
         "_now",
     )
@@ -83,6 +85,9 @@
             counters=self.context.metrics,
             source=self._random,
         )
+        self._admission = _admission.Admission(
+            choice=self._dispatcher.choice, pace=self._dispatcher.pace
+        )
         self._beginnings = _beginnings.Beginnings(
             pace=self._dispatcher.pace, source=self._random
         )
@@ -141,7 +146,15 @@
         if exchange.deadline_at <= self._now:
             self._refuse(request, "deadline_past", 504, route=route)
             return
+        self._admission.note_arrived(exchange, self._now)
+        pause_s = self._admission.find_pause(exchange, self._now)
+        if pause_s is not None:
+            self._refuse(
+                request, "overloaded", 503, route=route, pause_s=pause_s
+            )
+            return
         self._open[request.key] = exchange
+        self._admission.note_begun(exchange)
         self.context.metrics.count("requests_started")
         self._dispatcher.send_all(exchange)
         self._dispatcher.timers.plan(exchange.deadline_at, "deadline", exchange)
@@ -360,7 +373,8 @@
         )
 
     def _close(self, exchange: _exchange.Exchange) -> None:
-        self._open.pop(exchange.request.key, None)
+        del self._open[exchange.request.key]
+        self._admission.note_ended(exchange)
         for shard in exchange.shards:
             self._dispatcher.abort_attempts(shard)
 
@@ -372,16 +386,17 @@
         *,
         route: declarations.Route | None = None,
         without_target: collections.abc.Sequence[str] = (),
+        pause_s: float | None = None,
     ) -> None:
         """Answers a request of which nothing was sent."""
         feed = self.table("feed_state").get("current")
+        if pause_s is None:
+            pause_s = _outcomes.find_retry_delay(reason, feed)
         self.writer("responses").append(
             exchanges.Response(
                 key=request.key,
                 status=status,
-                headers=_outcomes.build_refusal_headers(
-                    status, _outcomes.find_retry_delay(reason, feed)
-                ),
+                headers=_outcomes.build_refusal_headers(status, pause_s),
             )
         )
         self.context.metrics.count("requests_refused", reason)
--- a/src/bramleyfork/entry/decisions/hedges.py
+++ b/src/bramleyfork/entry/decisions/hedges.py
@@ -22,6 +22,8 @@
 _FLUSH_MOST_PART = 0.25
 _FLUSH_DEFAULT_PART = 0.15
 _LEAST_SAMPLES = 50
+# The usual work of a target shows where replies seldom wait behind others.
+_WORK_PERCENTILE = 25.0
 # Callers of a route mostly wait equally long, and one that names less has
 # spent the rest on its way here. Few callers wait longer than this percentile.
 _USUAL_WAIT_PERCENTILE = 90.0
@@ -61,6 +63,14 @@
         usual = window.find_percentile(_FLUSH_PERCENTILE) or 0.0
         return min(usual, aim_s * _FLUSH_MOST_PART)
 
+    def find_work(self) -> float:
+        """Returns the usual seconds of a target's work on a sub-request.
+
+        It is 0 until there are samples of near targets.
+        """
+        window = self.by_distance["data_centre"]
+        return window.find_percentile(_WORK_PERCENTILE) or 0.0
+
     def find_spent(self, wait_s: float | None) -> float:
         """Returns seconds that a caller has spent before its request came."""
         if wait_s is None:
@@ -80,9 +90,13 @@
 
     def find(self, route: declarations.Route) -> Pace:
         """Returns the pace of a route."""
-        found = self._paces.get(route.name)
+        return self.find_by_name(route.name)
+
+    def find_by_name(self, route_name: str) -> Pace:
+        """Returns the pace of the route with a name."""
+        found = self._paces.get(route_name)
         if found is None:
-            found = self._paces[route.name] = Pace()
+            found = self._paces[route_name] = Pace()
         return found
 
 
--- a/src/bramleyfork/entry/decisions/placement.py
+++ b/src/bramleyfork/entry/decisions/placement.py
@@ -85,6 +85,20 @@
     return max(LEAST_HOSTS, int(hosts / max(1, region_count)))
 
 
+def count_hosts(
+    connection_limit: int, *, host_count: int, region_count: int
+) -> int:
+    """Returns how many hosts send to a target, at least one.
+
+    Args:
+      connection_limit: Connections that the target accepts from all hosts.
+      host_count: Number of hosts known.
+      region_count: Number of regions.
+    """
+    in_use = region_count * count_hosts_in_use(connection_limit, region_count)
+    return max(1, min(in_use, host_count))
+
+
 def find_connection_limit(
     connection_limit: int, *, host_count: int, region_count: int
 ) -> int:
@@ -95,8 +109,9 @@
       host_count: Number of hosts known.
       region_count: Number of regions.
     """
-    in_use = region_count * count_hosts_in_use(connection_limit, region_count)
-    hosts = max(1, min(in_use, host_count))
+    hosts = count_hosts(
+        connection_limit, host_count=host_count, region_count=region_count
+    )
     return max(
         _LEAST_CONNECTIONS, int(connection_limit * CONNECTION_USE / hosts)
     )
--- a/src/bramleyfork/entry/decisions/ranking.py
+++ b/src/bramleyfork/entry/decisions/ranking.py
@@ -13,6 +13,27 @@
 _FAULT_COST_S = 0.3  # Cost of an attempt that fails, times its likelihood.
 
 
+def expect_latency(
+    *,
+    now: float,
+    distance_s: float,
+    latency_s: float | None,
+    latency_at: float,
+) -> float:
+    """Returns the usual seconds from an attempt to its reply.
+
+    Args:
+      now: Monotonic seconds.
+      distance_s: Round trip to the target.
+      latency_s: Moving average of its latency; None without samples.
+      latency_at: Time of the last sample.
+    """
+    if latency_s is None:
+        return distance_s
+    fade = math.exp((latency_at - now) / _FADE_S)
+    return distance_s + max(0.0, latency_s - distance_s) * fade
+
+
 def estimate(
     *,
     now: float,
@@ -36,10 +57,12 @@
       oldest_at: When the oldest unanswered attempt was sent.
       fault_rate: Moving average of failed attempts, 0 to 1.
     """
-    expected = distance_s
-    if latency_s is not None:
-        fade = math.exp((latency_at - now) / _FADE_S)
-        expected += max(0.0, latency_s - distance_s) * fade
+    expected = expect_latency(
+        now=now,
+        distance_s=distance_s,
+        latency_s=latency_s,
+        latency_at=latency_at,
+    )
     cost = expected * (1.0 + outstanding / max(1, slots))
     cost += fault_rate * _FAULT_COST_S
     if oldest_at is not None:
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -728,3 +728,42 @@
     fed.step()
     (fault,) = fed.take("target_faults")
     assert (fault.target, fault.fault) == (send.target, "misdirected")
+
+
+# Overload.
+
+
+def fill(fed, *, per_s, work_s, until):
+    """Asks at a steady rate; targets reply after ``work_s`` seconds."""
+    key, under_way = 1000, []
+    while fed.now < until:
+        for send in ask(fed, key):
+            under_way.append((fed.now + work_s, send))
+        key += 1
+        fed.now += 1.0 / per_s
+        while under_way and under_way[0][0] <= fed.now:
+            answer(fed, under_way.pop(0)[1])
+        # Second attempts run on other slots; they don't matter here.
+        fed.take("sends")
+    responses = fed.take("responses")
+    return [r for r in responses if r.status == 503], responses
+
+
+def test_demand_beyond_the_slots_is_refused_early_and_not_run():
+    # Guards against queues at targets in which every request becomes late:
+    # two targets of two slots each are asked for more than they can do.
+    fed = start_single(aim_s=0.12)
+    fill(fed, per_s=100.0, work_s=0.03, until=fed.now + 2.0)
+    refused, responses = fill(fed, per_s=200.0, work_s=0.2, until=fed.now + 3.0)
+    assert 0 < len(refused) < len(responses)
+    pauses = [float(find_header(r, b"Retry-After")) for r in refused]
+    assert min(pauses) >= 0.1
+
+
+def test_slow_targets_alone_are_no_overload():
+    # Guards against refusals where second attempts answer more callers: the
+    # same delay, at a tenth of the demand.
+    fed = start_single(aim_s=0.12)
+    fill(fed, per_s=10.0, work_s=0.03, until=fed.now + 6.0)
+    refused, _ = fill(fed, per_s=10.0, work_s=0.1, until=fed.now + 3.0)
+    assert refused == []
--- /dev/null
+++ b/tests/entry/decisions/test_entry_admission.py
@@ -0,0 +1,57 @@
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from bramleyfork.entry.decisions import admission
+
+
+def count_rate(per_s, seconds=5.0):
+    rate = admission.Rate()
+    for number in range(int(per_s * seconds)):
+        rate.note(100.0 + number / per_s)
+    return rate, 100.0 + seconds
+
+
+@pytest.mark.parametrize("per_s", [5.0, 40.0, 300.0])
+def test_a_rate_follows_steady_requests(per_s):
+    rate, now = count_rate(per_s)
+    assert rate.read(now) == pytest.approx(per_s, rel=0.15)
+
+
+def test_a_rate_forgets_a_burst_within_seconds():
+    # Guards against refusals that go on when the burst is over.
+    rate, now = count_rate(300.0)
+    assert rate.read(now + 4.0) < 10.0
+
+
+def test_a_rate_without_requests_is_zero():
+    assert admission.Rate().read(5.0) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("busy_slots", "expected"), [(0.5, False), (3.0, False), (3.9, True)]
+)
+def test_only_demand_that_fills_the_slots_is_overload(busy_slots, expected):
+    # Guards against refusals while a few targets are slow for a fault.
+    assert admission.is_overloaded(busy_slots=busy_slots, slots=4.0) == expected
+
+
+@hypothesis.given(st.floats(0.0, 500.0), st.integers(1, 300))
+def test_hosts_together_keep_the_slots_busy(slots, host_count):
+    # Guards against idle targets while callers are refused.
+    kept = admission.count_kept(slots, host_count)
+    assert kept >= 2
+    assert kept * host_count >= 2 * slots
+
+
+def test_missing_shards_that_an_answer_can_do_without_count_for_nothing():
+    delays = [0.01, 0.02, 0.03, float("inf")]
+    assert admission.expect_delay(delays, 3) < 0.2
+    assert admission.expect_delay(delays, 4) == float("inf")
+
+
+@hypothesis.given(
+    st.floats(0.0, 1e9) | st.just(float("inf")), st.floats(-1e3, 1e3)
+)
+def test_a_refused_caller_is_told_a_time_within_bounds(expected_s, left_s):
+    assert 0.1 <= admission.find_pause(expected_s, left_s) <= 2.0
