Prefer a silent owner to a suspect one, and reach a target through its other owner

The router on south-2 held east-1 for suspect from 1.1 s before, and used east-2. Then one attempt through east-2 was answered 17 ms late, so east-2 counted as silent for a second; silence weighed more than suspicion, so the next query went through east-1, which was cut off.

Three changes, each with a test that failed first: suspicion weighs more than silence, an owner that answers is silent no longer, and where no other replica is left the target behind a silent owner is asked through its other owner.

Ruled out: the lease (held all the while), a late suspicion (1.1 s before the query).

--- a/src/bramleyfork/controllers/_dispatch.py
+++ b/src/bramleyfork/controllers/_dispatch.py
@@ -79,18 +79,31 @@
                 route.give_up(segment)
             return None
         first = not segment.attempts
-        self._sender.send(route, segment, choice, now)
-        self._plan_hedge(route, segment, now)
+        self._send(route, segment, choice, now)
         if first:
             self._hedges.earn()
             self._retries.earn()
             self._send_trial(route, segment, now)
         return choice
 
+    def _send(
+        self,
+        route: _route.Route,
+        segment: _route.Segment,
+        choice: tuple[str, str],
+        now: float,
+    ) -> None:
+        self._sender.send(route, segment, choice, now)
+        self._plan_hedge(route, segment, now)
+
     def serve_hedge(
         self, route: _route.Route, segment: _route.Segment, now: float
     ) -> None:
-        """Asks another replica as well when the latest attempt is slow."""
+        """Asks another replica as well when the latest attempt is slow.
+
+        If none is left and the owner is silent, its target is asked through
+        another owner.
+        """
         if segment.settled or segment.suspect:
             return
         if len(segment.attempts) > retries.MOST_EXTRA_ATTEMPTS:
@@ -99,17 +112,20 @@
         if not latest.open or now < latest.hedge_at:
             return
         silent = self._view.judge_silence(latest.owner, latest.sent_at, now)
-        if self._sender.choose(segment, now) is None:
+        choice = self._sender.choose(segment, now)
+        if choice is None and silent:
+            segment.refused_owners.add((latest.target, latest.owner))
+            choice = self._sender.choose_owner(segment, latest.target, now)
+        if choice is None:
             return
         # An owner that answers nobody is lost for now, so asking elsewhere is
         # a retry as much as a hedge.
         if not self._hedges.spend() and not (silent and self._retries.spend()):
             return
-        choice = self.send(route, segment, now)
-        if choice is not None:
-            self.counters["hedges"] += 1
-            reason = "silent owner" if silent else "slow"
-            _log_attempt("segment hedged", route, segment, choice, reason)
+        self._send(route, segment, choice, now)
+        self.counters["hedges"] += 1
+        reason = "silent owner" if silent else "slow"
+        _log_attempt("segment hedged", route, segment, choice, reason)
 
     def serve_retry(
         self, route: _route.Route, segment: _route.Segment, now: float
--- a/src/bramleyfork/controllers/_fleet_view.py
+++ b/src/bramleyfork/controllers/_fleet_view.py
@@ -251,6 +251,8 @@
             stats.avoid_until = now + _AVOID_S
         if reply.code == "owner_lost":
             self._avoided_owners[reply.owner] = now + _AVOID_S
+        else:
+            self._avoided_owners.pop(reply.owner, None)
         if reply.report is None:
             return False
         known = self._fresh.get(reply.target)
--- a/src/bramleyfork/controllers/_sender.py
+++ b/src/bramleyfork/controllers/_sender.py
@@ -57,8 +57,9 @@
             if target not in segment.tried
             and (owner := self._find_owner(segment, target, now)) is not None
         }
-        # A replica behind a doubtful owner waits for others to be tried.
-        sound = [t for t, (p, _) in found.items() if p < owners.DOUBTFUL]
+        # A replica behind a silent or suspect owner waits for others to be
+        # tried.
+        sound = [t for t, (p, _) in found.items() if p < owners.SILENT]
         target = self._view.choose_target(sound or list(found), now)
         return None if target is None else (target, found[target][1])
 
--- a/src/bramleyfork/decisions/owners.py
+++ b/src/bramleyfork/decisions/owners.py
@@ -2,12 +2,13 @@
 
 from bramleyfork.core import fleet
 
-# Penalties of an owner; smaller is better. From DOUBTFUL on, a replica with a
-# better owner is preferred.
+# Penalties of an owner; smaller is better. From SILENT on, a replica with a
+# better owner is preferred. Peers suspect an owner after pings went unanswered,
+# while silence may be one late answer, so it weighs less.
 SOUND = 0
 LEAVING = 1
-DOUBTFUL = 2
-SILENT = 4
+SILENT = 2
+SUSPECT = 4
 
 
 def judge_owner(member: fleet.Member | None, *, silent: bool) -> int | None:
@@ -21,7 +22,7 @@
         return None
     penalty = SILENT if silent else SOUND
     if member is None or member.state == "suspect":
-        return penalty + DOUBTFUL
+        return penalty + SUSPECT
     if member.state == "leaving" or not member.leased:
         return penalty + LEAVING
     return penalty
--- a/tests/controllers/test_routing.py
+++ b/tests/controllers/test_routing.py
@@ -1,6 +1,7 @@
 import pytest
 
 from bramleyfork.controllers import routing
+from bramleyfork.core import declarations
 from bramleyfork.core import fleet
 from bramleyfork.core import ranges
 from bramleyfork.core import replies
@@ -78,8 +79,10 @@
             answers=((1, "one"),),
             report=REPORT,
         )
-        self.replies.append(reply.replace(**changes))
+        reply = reply.replace(**changes)
+        self.replies.append(reply)
         self.routing.step(now)
+        return reply
 
     def fail(self, request, code, verdict=verdicts.Verdict.NOT_RUN, **changes):
         self.reply(
@@ -267,6 +270,83 @@
     assert bench.take_answer().code == "ok"
 
 
+def start_remote(*states):
+    """Returns a router in a data centre of its own and the targets' owners.
+
+    Args:
+      *states: What is believed of the two owners.
+    """
+    declaration = creators.create_declaration(hosts=3)
+    hosts = dict(declaration.hosts)
+    hosts["host-1"] = creators.create_host(1, data_centre="zaragoza")
+    centre = declarations.DataCentre(name="zaragoza", region="south")
+    bench = Bench(
+        declaration.replace(
+            hosts=hosts,
+            data_centres={**declaration.data_centres, centre.name: centre},
+        )
+    )
+    members = bench.board.grant_writer("members", "membership")
+    owners = ("host-2", "host-3")
+    for owner, state in zip(owners, states, strict=True):
+        members.put(
+            owner,
+            fleet.Member(host=owner, incarnation=1, state=state, changed_at=1),
+        )
+    for number in range(30):
+        (request,) = bench.ask(query_id=f"q{number}")
+        bench.reply(request)
+        bench.take_answer()
+    return bench
+
+
+def test_a_short_silence_does_not_send_queries_to_a_suspect_owner():
+    # Guards against partial answers after a cut: an owner that was slow once
+    # ranked worse than one that members believe to be cut off.
+    bench = start_remote("alive", "suspect")
+    (slow,) = bench.ask(query_id="slow", now=NOW + 0.1)
+    assert slow.owner == "host-2"
+    bench.routing.step(NOW + 0.5)
+    bench.take_sent()
+    sent = bench.ask(query_id="next", now=NOW + 0.51)
+    owners = {r.owner for r in sent if r.query_id == "next"}
+    assert owners == {"host-2"}
+
+
+def test_an_owner_that_answers_is_silent_no_longer():
+    # Guards against avoiding an owner for a second after one late answer.
+    bench = start_remote("alive", "alive")
+    view = bench.routing._view
+    members = bench.board.find_table("members")
+
+    def find_penalty(now):
+        return view.find_owner("booking-01-a", members, set(), now)[0]
+
+    (request,) = bench.ask(query_id="one", now=NOW + 0.1)
+    for owner in ("host-2", "host-3"):
+        assert view.judge_silence(owner, NOW + 0.2, NOW + 0.3)
+    assert find_penalty(NOW + 0.3) > 0
+    for owner in ("host-2", "host-3"):
+        reply = bench.reply(request, now=NOW + 0.4, owner=owner)
+        view.note_reply(reply, 0.1, NOW + 0.4)
+    assert find_penalty(NOW + 0.4) == 0
+
+
+def test_a_target_behind_a_silent_owner_is_asked_through_the_other_one():
+    # Guards against a segment that waits for its deadline behind a lost owner
+    # while the other owner of the same target is alive.
+    bench = start_remote("alive", "alive")
+    (first,) = bench.ask(query_id="slow", now=NOW + 0.1)
+    sent = [first]
+    for number in range(2, 5):
+        bench.routing.step(NOW + 0.2 * number)
+        sent += bench.take_sent()
+    pairs = {(request.target, request.owner) for request in sent}
+    assert len(pairs) == len(sent) == 3
+    bench.reply(sent[-1], now=NOW + 0.81)
+    assert bench.take_answer().code == "ok"
+
+
 def test_hold_request_runs_once_per_ticket():
     bench = Bench()
     hold = {"lookup": "seat-hold", "key": 7, "ticket": issue_ticket(bench)}
