Split refusals from the exchanges, and options from the check of declarations

What refuses a request (response, count, log line) is a class of its own; the keys of a declaration are a module of their own. The line of an early refusal now names what decided it: expected and left time, busy slots, slots, requests under way. No other change of behaviour; the tests keep their assertions.

--- a/src/bramleyfork/entry/controllers/_admission.py
+++ b/src/bramleyfork/entry/controllers/_admission.py
@@ -7,6 +7,8 @@
 from bramleyfork.entry.decisions import admission
 from bramleyfork.entry.decisions import hedges
 
+_LOGGED_S = 3600.0  # An endless delay is logged as this one.
+
 
 class _Demand:
     """What the requests of one service ask for.
@@ -25,6 +27,55 @@
         )
 
 
+class Excess:
+    """Why a request is refused.
+
+    Attributes:
+      pause_s: Seconds after which its caller should come back.
+      expected_s: When its answer was expected, in seconds.
+      left_s: When it must be there, in seconds.
+      busy_slots: Slots that the demand of all hosts keeps busy.
+      slots: Slots of the targets in use.
+      under_way: Requests of this host that the targets work on.
+    """
+
+    __slots__ = (
+        "pause_s",
+        "expected_s",
+        "left_s",
+        "busy_slots",
+        "slots",
+        "under_way",
+    )
+
+    def __init__(
+        self,
+        *,
+        expected_s: float,
+        left_s: float,
+        busy_slots: float,
+        slots: float,
+        under_way: int,
+    ):
+        self.pause_s = admission.find_pause(expected_s, left_s)
+        self.expected_s = expected_s
+        self.left_s = left_s
+        self.busy_slots = busy_slots
+        self.slots = slots
+        self.under_way = under_way
+
+    def describe(self) -> dict[str, float]:
+        """Returns the fields of its log line."""
+        return {
+            "retry_after_ms": round(self.pause_s * 1000),
+            "expected_ms": round(min(self.expected_s, _LOGGED_S) * 1000),
+            "left_ms": round(self.left_s * 1000),
+            "busy_slots": round(self.busy_slots, 2),
+            "slots": self.slots,
+            "under_way": self.under_way,
+        }
+
+
 class Admission:
     """Counts requests under way and judges whether one more is in time.
 
@@ -58,14 +109,13 @@
         """Counts a request that was answered or whose caller left."""
         self._find_demand(exchange).under_way -= 1
 
-    def find_pause(
+    def find_excess(
         self, exchange: _exchange.Exchange, now: float
-    ) -> float | None:
-        """Returns when a caller should come back, or None to let it in.
+    ) -> Excess | None:
+        """Returns why a request is to be refused, or None to let it in.
 
-        Returns:
-          Seconds, if the targets are asked for more than they can do and the
-          answer is expected to miss the aim.
+        It is refused if the targets are asked for more than they can do and
+        its answer is expected to miss the aim.
         """
         route = exchange.route
         demand = self._find_demand(exchange)
@@ -90,7 +140,13 @@
         left_s = exchange.aim_at + exchange.spent_s - now
         if expected_s <= left_s:
             return None
-        return admission.find_pause(expected_s, left_s)
+        return Excess(
+            expected_s=expected_s,
+            left_s=left_s,
+            busy_slots=busy_slots,
+            slots=slots,
+            under_way=demand.under_way,
+        )
 
     def _find_demand(self, exchange: _exchange.Exchange) -> _Demand:
         service = exchange.shards[0].service
--- a/src/bramleyfork/entry/controllers/_outcomes.py
+++ b/src/bramleyfork/entry/controllers/_outcomes.py
@@ -1,21 +1,14 @@
 """What a caller is told in the end, and the log line that says why."""
 
-import collections.abc
 import typing
 
 from bramleyfork.core import verdicts
-from bramleyfork.entry import declarations
 from bramleyfork.entry import dialects
 from bramleyfork.entry import exchanges
-from bramleyfork.entry import feeds
 from bramleyfork.entry.controllers import _exchange
+from bramleyfork.entry.controllers import _refusals
 from bramleyfork.entry.decisions import gathers
 
-# When to come back after a refusal; targets come into use within seconds.
-RETRY_AFTER_S = 0.25
-# The same while no source of the feed answers. A caller that comes back sooner
-# is refused again.
-FEED_RETRY_AFTER_S = 2.0
 # Faults of attempts that reached no target if they are said not to have run.
 _UNSENT = frozenset(("connect", "no_room", "expired", "not_usable", "carrier"))
 
@@ -30,27 +23,6 @@
         self.word = word
 
 
-def build_refusal_headers(
-    status: int, retry_after_s: float = RETRY_AFTER_S
-) -> exchanges.Headers:
-    """Returns the headers of an own refusal."""
-    if status != 503:
-        return ()
-    return ((b"Retry-After", b"%.2f" % retry_after_s),)
-
-
-def find_retry_delay(reason: str, feed: feeds.FeedState | None) -> float:
-    """Returns seconds after which a refused caller should come back.
-
-    Args:
-      reason: Why it was refused.
-      feed: The feed's state; None at the start of the process.
-    """
-    if reason == "no_routes" and feed is not None and feed.is_lost:
-        return FEED_RETRY_AFTER_S
-    return RETRY_AFTER_S
-
-
 def has_not_arrived(reply: exchanges.Reply) -> bool:
     """Returns whether an attempt reached no target, not even to be refused."""
     is_sent = reply.verdict is not verdicts.Verdict.NOT_RUN
@@ -131,7 +103,7 @@
         response=exchanges.Response(
             key=exchange.request.key,
             status=status,
-            headers=build_refusal_headers(status),
+            headers=_refusals.build_headers(status),
         ),
         word=word,
     )
@@ -172,30 +144,3 @@
     if outcome is None or outcome.word not in ("complete", "partial"):
         fields["verdict"] = exchange.combine_verdicts().value
     return fields
-
-
-def describe_refusal(
-    request: exchanges.CallerRequest,
-    route: declarations.Route | None,
-    *,
-    reason: str,
-    status: int,
-    without_target: collections.abc.Sequence[str],
-    feed: feeds.FeedState | None,
-    now: float,
-) -> dict[str, typing.Any]:
-    """Returns the fields of the log line on a request that was not sent."""
-    fields = {
-        "request": request.request_id.decode("latin-1"),
-        "route": route.name if route else None,
-        "reason": reason,
-        "status": status,
-        "without_target": without_target,
-        "verdict": verdicts.Verdict.NOT_RUN.value,
-    }
-    if feed is not None:
-        fields["feed_revision"] = feed.revision
-        fields["feed_age_ms"] = (
-            round((now - feed.heard_at) * 1000) if feed.heard_at else None
-        )
-    return fields
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -1,13 +1,11 @@
 """The controller that takes each request to its targets and back."""
 
-import collections.abc
 import logging
 import random
 
 from bramleyfork.core import registries
 from bramleyfork.core import verdicts
 from bramleyfork.entry import carriage
-from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import parts
 from bramleyfork.entry.controllers import _admission
@@ -17,6 +15,7 @@
 from bramleyfork.entry.controllers import _dispatcher
 from bramleyfork.entry.controllers import _exchange
 from bramleyfork.entry.controllers import _outcomes
+from bramleyfork.entry.controllers import _refusals
 from bramleyfork.entry.controllers import _target_choice
 from bramleyfork.entry.decisions import gathers
 from bramleyfork.entry.decisions import matching
@@ -58,6 +57,7 @@
         "_switch",
         "_beginnings",
         "_admission",
+        "_refusals",
         "_random",
         "_now",
     )
@@ -88,6 +88,11 @@
         self._admission = _admission.Admission(
             choice=self._dispatcher.choice, pace=self._dispatcher.pace
         )
+        self._refusals = _refusals.Refusals(
+            writer=self.writer("responses"),
+            feed_state=self.table("feed_state"),
+            counters=self.context.metrics,
+        )
         self._beginnings = _beginnings.Beginnings(
             pace=self._dispatcher.pace, source=self._random
         )
@@ -117,17 +122,20 @@
     # Beginning.
 
     def _begin(self, request: exchanges.CallerRequest) -> None:
+        def refuse(reason: str, status: int, **details) -> None:
+            self._refusals.refuse(request, reason, status, self._now, **details)
+
         table = self._switch.find(
             self.table("route_table").get("current"),
             self._dispatcher.choice.is_reachable,
             self._now,
         )
         if table is None:
-            self._refuse(request, "no_routes", 503)
+            refuse("no_routes", 503)
             return
         route = matching.find_route(table, request.host, request.path)
         if route is None:
-            self._refuse(request, "no_route", 404)
+            refuse("no_route", 404)
             return
         exchange = self._beginnings.build(request, route, table)
         choice = self._dispatcher.choice
@@ -139,19 +147,15 @@
             if not choice.has_target(route, shard.service)
         ]
         if len(exchange.shards) - len(missing) < exchange.least:
-            self._refuse(
-                request, "no_targets", 503, route=route, without_target=missing
-            )
+            refuse("no_targets", 503, route=route, without_target=missing)
             return
         if exchange.deadline_at <= self._now:
-            self._refuse(request, "deadline_past", 504, route=route)
+            refuse("deadline_past", 504, route=route)
             return
         self._admission.note_arrived(exchange, self._now)
-        pause_s = self._admission.find_pause(exchange, self._now)
-        if pause_s is not None:
-            self._refuse(
-                request, "overloaded", 503, route=route, pause_s=pause_s
-            )
+        excess = self._admission.find_excess(exchange, self._now)
+        if excess is not None:
+            refuse("overloaded", 503, route=route, excess=excess)
             return
         self._open[request.key] = exchange
         self._admission.note_begun(exchange)
@@ -377,38 +381,3 @@
         self._admission.note_ended(exchange)
         for shard in exchange.shards:
             self._dispatcher.abort_attempts(shard)
-
-    def _refuse(
-        self,
-        request: exchanges.CallerRequest,
-        reason: str,
-        status: int,
-        *,
-        route: declarations.Route | None = None,
-        without_target: collections.abc.Sequence[str] = (),
-        pause_s: float | None = None,
-    ) -> None:
-        """Answers a request of which nothing was sent."""
-        feed = self.table("feed_state").get("current")
-        if pause_s is None:
-            pause_s = _outcomes.find_retry_delay(reason, feed)
-        self.writer("responses").append(
-            exchanges.Response(
-                key=request.key,
-                status=status,
-                headers=_outcomes.build_refusal_headers(status, pause_s),
-            )
-        )
-        self.context.metrics.count("requests_refused", reason)
-        _LOG.info(
-            "request refused",
-            extra=_outcomes.describe_refusal(
-                request,
-                route,
-                reason=reason,
-                status=status,
-                without_target=without_target,
-                feed=feed,
-                now=self._now,
-            ),
-        )
--- a/src/bramleyfork/standalone/declaration.py
+++ b/src/bramleyfork/standalone/declaration.py
@@ -1,7 +1,6 @@
 """Routes, services and targets in a TOML file, checked as a whole."""
 
 import collections.abc
-import re
 import typing
 
 import expression
@@ -11,276 +10,12 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import feeds
 from bramleyfork.entry.decisions import matching
+from bramleyfork.standalone import declared_options
 from bramleyfork.standalone import settings
 
-_HOST_NAME = re.compile(r"[a-z0-9](?:[a-z0-9.-]{0,251}[a-z0-9])?")
-_PATH = re.compile(r"/[!-~]{0,1023}")
-_STATES = ("ready", "draining")
-
 Problems = tuple[tables.Problem, ...]
 
 
-@tables.VALIDATORS.register("host_name")
-def check_host_name(
-    option: tables.Option, value: typing.Any
-) -> expression.Result[typing.Any, str]:
-    """Accepts the host name of requests."""
-    del option
-    if isinstance(value, str) and _HOST_NAME.fullmatch(value):
-        return expression.Ok(value)
-    return expression.Error(
-        "a host name in lower case without port, such as 'search.example'"
-    )
-
-
-@tables.VALIDATORS.register("url_path")
-def check_url_path(
-    option: tables.Option, value: typing.Any
-) -> expression.Result[typing.Any, str]:
-    """Accepts a path of a URL."""
-    del option
-    if isinstance(value, str) and _PATH.fullmatch(value):
-        return expression.Ok(value)
-    return expression.Error("a path that begins with /, such as '/health'")
-
-
-@tables.VALIDATORS.register("url_prefix")
-def check_url_prefix(
-    option: tables.Option, value: typing.Any
-) -> expression.Result[typing.Any, str]:
-    """Accepts a prefix of paths."""
-    if check_url_path(option, value).is_ok() and value.endswith("/"):
-        return expression.Ok(value)
-    return expression.Error("a path that begins and ends with /")
-
-
-@tables.VALIDATORS.register("weights")
-def check_weights(
-    option: tables.Option, value: typing.Any
-) -> expression.Result[typing.Any, str]:
-    """Accepts a list of weights, at least one of them above 0."""
-    del option
-    is_list = isinstance(value, list) and all(
-        isinstance(weight, int | float)
-        and not isinstance(weight, bool)
-        and 0 <= weight < 1e9
-        for weight in value
-    )
-    if is_list and (not value or any(value)):
-        return expression.Ok(tuple(float(weight) for weight in value))
-    return expression.Error(
-        "a list of numbers of at least 0, one of them above 0"
-    )
-
-
-SERVICE_OPTIONS = (
-    tables.Option(key="name", type="name", purpose="Unique name."),
-    tables.Option(
-        key="health_path",
-        type="url_path",
-        default="/health",
-        purpose="Path of the targets' health check.",
-    ),
-    tables.Option(
-        key="connection_limit",
-        type="integer",
-        unit="connections",
-        low=1,
-        high=1_000_000,
-        purpose="Connections that one target accepts from all hosts.",
-    ),
-    tables.Option(
-        key="warmup_s",
-        type="number",
-        default=0.0,
-        unit="seconds",
-        low=0,
-        high=3600,
-        purpose="Time for which a started target is cold.",
-    ),
-)
-
-ROUTE_OPTIONS = (
-    tables.Option(key="name", type="name", purpose="Unique name."),
-    tables.Option(
-        key="host", type="host_name", purpose="Host name of the requests."
-    ),
-    tables.Option(
-        key="prefix", type="url_prefix", purpose="Prefix of their paths."
-    ),
-    tables.Option(
-        key="idempotent",
-        type="flag",
-        purpose="Whether a request may run more than once.",
-    ),
-    tables.Option(
-        key="timeout_s",
-        type="number",
-        unit="seconds",
-        low=0.001,
-        high=3600,
-        purpose="Longest time that a caller is kept waiting.",
-    ),
-    tables.Option(
-        key="aim_s",
-        type="number",
-        unit="seconds",
-        low=0.001,
-        high=3600,
-        purpose="Time within which an answer is worth most.",
-    ),
-    tables.Option(
-        key="priority",
-        type="integer",
-        default=0,
-        low=0,
-        high=100,
-        purpose="Rank, 0 is the most urgent.",
-    ),
-    tables.Option(
-        key="attempts",
-        type="integer",
-        default=2,
-        low=1,
-        high=100,
-        purpose="Most targets that one request may be sent to, per shard.",
-    ),
-    tables.Option(
-        key="services",
-        type="names",
-        default=(),
-        purpose="Services that requests are divided among.",
-    ),
-    tables.Option(
-        key="weights",
-        type="weights",
-        default=(),
-        purpose="Their weights; equal if left out.",
-    ),
-    tables.Option(
-        key="shards",
-        type="names",
-        default=(),
-        purpose="Services that each request goes to all of, instead.",
-    ),
-    tables.Option(
-        key="record_limit",
-        type="integer",
-        default=0,
-        unit="records",
-        low=0,
-        high=1_000_000,
-        purpose="Greatest records that an answer over shards contains.",
-    ),
-    tables.Option(
-        key="least_share",
-        type="number",
-        default=1.0,
-        low=0,
-        high=1,
-        purpose="Least part of the shards that makes an answer.",
-    ),
-    tables.Option(
-        key="regions",
-        type="names",
-        default=(),
-        purpose="Regions that may serve the route; empty for all.",
-    ),
-)
-
-TARGET_OPTIONS = (
-    tables.Option(key="name", type="name", purpose="Unique id."),
-    tables.Option(key="service", type="name", purpose="Its service."),
-    tables.Option(key="address", type="address", purpose="Where it listens."),
-    tables.Option(key="data_centre", type="name", purpose="Where it is."),
-    tables.Option(
-        key="slots",
-        type="integer",
-        default=1,
-        unit="requests",
-        low=1,
-        high=100_000,
-        purpose="Requests that it runs at the same time.",
-    ),
-    tables.Option(
-        key="state",
-        type="choice",
-        default="ready",
-        choices=_STATES,
-        purpose="Whether it takes requests or is about to leave.",
-    ),
-    tables.Option(
-        key="born_ms",
-        type="integer",
-        default=0,
-        unit="milliseconds since 1970",
-        low=0,
-        high=2**53,
-        purpose="Start of its process; a new one is another process.",
-    ),
-)
-
-LIMIT_OPTIONS = (
-    tables.Option(
-        key="header_bytes",
-        type="integer",
-        default=16_384,
-        unit="bytes",
-        low=256,
-        high=1_048_576,
-        purpose="Longest head of a request.",
-    ),
-    tables.Option(
-        key="body_bytes",
-        type="integer",
-        default=1_048_576,
-        unit="bytes",
-        low=0,
-        high=1_073_741_824,
-        purpose="Longest body of a request.",
-    ),
-    tables.Option(
-        key="header_s",
-        type="number",
-        default=5.0,
-        unit="seconds",
-        low=0.01,
-        high=3600,
-        purpose="Longest time for a head to arrive.",
-    ),
-    tables.Option(
-        key="idle_s",
-        type="number",
-        default=60.0,
-        unit="seconds",
-        low=0.1,
-        high=86_400,
-        purpose="Longest time that a connection may be idle.",
-    ),
-)
-
-_TABLES = {
-    "services": SERVICE_OPTIONS,
-    "routes": ROUTE_OPTIONS,
-    "targets": TARGET_OPTIONS,
-}
-TOP_OPTIONS = (
-    tables.Option(
-        key="revision",
-        type="integer",
-        low=1,
-        high=2**53,
-        purpose="Raised with each change; an older one is not followed.",
-    ),
-    tables.Option(
-        key="evacuated",
-        type="names",
-        default=(),
-        purpose="Data centres whose targets get no requests.",
-    ),
-)
-
-
 class Declared:
     """A declaration that was accepted.
 
@@ -317,13 +52,17 @@
     values = dict(parsed.ok)
     problems: list[tables.Problem] = []
     limits = _check_row(
-        LIMIT_OPTIONS, values.pop("limits", {}), file, "limits", problems
+        declared_options.LIMIT_OPTIONS,
+        values.pop("limits", {}),
+        file,
+        "limits",
+        problems,
     )
     rows = {
         name: _check_rows(name, values.pop(name, []), file, problems)
-        for name in _TABLES
+        for name in declared_options.TABLE_OPTIONS
     }
-    top = _check_row(TOP_OPTIONS, values, file, "", problems)
+    top = _check_row(declared_options.TOP_OPTIONS, values, file, "", problems)
     if not problems:
         problems.extend(_check_references(rows, file))
     if problems:
@@ -365,7 +104,13 @@
         )
         return []
     return [
-        _check_row(_TABLES[name], row, file, f"{name}[{index}]", problems)
+        _check_row(
+            declared_options.TABLE_OPTIONS[name],
+            row,
+            file,
+            f"{name}[{index}]",
+            problems,
+        )
         for index, row in enumerate(rows)
     ]
 
--- a/tests/configuration/test_configuration_documents.py
+++ b/tests/configuration/test_configuration_documents.py
@@ -6,7 +6,7 @@
 from bramleyfork.configuration import manifests
 from bramleyfork.configuration import settings
 from bramleyfork.configuration import tables
-from bramleyfork.standalone import declaration as standalone_declaration
+from bramleyfork.standalone import declared_options as standalone_options
 from bramleyfork.standalone import settings as standalone_settings
 
 PAGE = pathlib.Path(__file__).parents[2] / "docs" / "configuration.md"
@@ -19,11 +19,11 @@
     "manifest": manifests.MANIFEST_OPTIONS,
     "manifest parts": manifests.PART_OPTIONS,
     "entry settings": standalone_settings.OPTIONS,
-    "entry declaration": standalone_declaration.TOP_OPTIONS,
-    "entry limits": standalone_declaration.LIMIT_OPTIONS,
-    "entry services": standalone_declaration.SERVICE_OPTIONS,
-    "entry routes": standalone_declaration.ROUTE_OPTIONS,
-    "entry targets": standalone_declaration.TARGET_OPTIONS,
+    "entry declaration": standalone_options.TOP_OPTIONS,
+    "entry limits": standalone_options.LIMIT_OPTIONS,
+    "entry services": standalone_options.SERVICE_OPTIONS,
+    "entry routes": standalone_options.ROUTE_OPTIONS,
+    "entry targets": standalone_options.TARGET_OPTIONS,
 }
 
 
