--- a/src/bramleyfork/entry/controllers/_admission.py
+++ b/src/bramleyfork/entry/controllers/_admission.py
@@ -7,6 +7,7 @@
 from bramleyfork.entry.decisions import admission
 from bramleyfork.entry.decisions import hedges
 
+_QUIET_PER_S = 0.01  # A rate below this counts as none.
 _LOGGED_S = 3600.0  # An endless delay is logged as this one.
 
 
@@ -98,6 +99,8 @@
 
     def note_arrived(self, exchange: _exchange.Exchange, now: float) -> None:
         """Counts a request before it is let in or refused."""
+        if exchange.shards[0].service not in self._demands:
+            self._forget_quiet(now)
         demand = self._find_demand(exchange)
         demand.rates[exchange.route.name].note(now)
 
@@ -148,6 +151,17 @@
             under_way=demand.under_way,
         )
 
+    def _forget_quiet(self, now: float) -> None:
+        """Forgets services that nobody asks for, as names come and go."""
+        quiet = [
+            service
+            for service, demand in self._demands.items()
+            if not demand.under_way
+            and all(r.read(now) < _QUIET_PER_S for r in demand.rates.values())
+        ]
+        for service in quiet:
+            del self._demands[service]
+
     def _find_demand(self, exchange: _exchange.Exchange) -> _Demand:
         service = exchange.shards[0].service
         found = self._demands.get(service)
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -782,3 +782,33 @@
     fill(fed, per_s=10.0, work_s=0.03, until=fed.now + 6.0)
     refused, _ = fill(fed, per_s=10.0, work_s=0.1, until=fed.now + 3.0)
     assert refused == []
+
+
+def test_the_line_of_an_early_refusal_names_what_decided_it(caplog):
+    # Guards against a refusal that on-call engineers can't explain.
+    caplog.set_level("INFO")
+    fed = start_single(aim_s=0.12)
+    fill(fed, per_s=200.0, work_s=0.2, until=fed.now + 5.0)
+    line = next(r for r in caplog.records if r.message == "request refused")
+    assert line.reason == "overloaded"
+    assert line.busy_slots > 0.8 * line.slots
+    assert line.slots == 4
+    assert line.expected_ms > line.left_ms
+    assert line.under_way > 0
+    assert line.retry_after_ms >= 100
+
+
+def test_demands_on_services_of_the_past_are_forgotten():
+    # Guards against a process that grows with each new cut of the index.
+    fed = start_single()
+    for number in range(50):
+        name = f"s{number + 1}"
+        share = declarations.Share(service=name, weight=1.0)
+        route = creators.create_route(shares=(share,))
+        table = creators.create_table(route, version=number + 2)
+        fed.put("route_table", "current", table)
+        warm(fed, name)
+        (send,) = ask(fed, key=number + 1)
+        answer(fed, send)
+        fed.now += 10.0
+    assert len(fed.part._admission._demands) <= 2
