Give each test of the whole host a metrics port of its own

Cause: the platform's metrics port 9464 is fixed, and two runs of the tests on one machine met on it; the host had ended with "address already in use", which the test did not show.

The test takes a free port, and shows what ended the host. The way of a request's beginning reads in two steps; no change of behaviour.

--- a/src/bramleyfork/entry/controllers/_target_choice.py
+++ b/src/bramleyfork/entry/controllers/_target_choice.py
@@ -78,9 +78,13 @@
         """Returns whether a service has a target in use, wherever it is."""
         return bool(self._usable.get(service))
 
-    def has_target(self, route: declarations.Route, service: str) -> bool:
-        """Returns whether any target of a service may be used."""
-        return bool(self._list(route, service))
+    def list_without_target(self, exchange: _exchange.Exchange) -> list[str]:
+        """Returns the services of a request that have no target to use."""
+        return [
+            shard.service
+            for shard in exchange.shards
+            if not self._list(exchange.route, shard.service)
+        ]
 
     def has_untried(
         self, route: declarations.Route, shard: _exchange.Shard
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -122,47 +122,54 @@
     # Beginning.
 
     def _begin(self, request: exchanges.CallerRequest) -> None:
-        def refuse(reason: str, status: int, **details) -> None:
-            self._refusals.refuse(request, reason, status, self._now, **details)
-
         table = self._switch.find(
             self.table("route_table").get("current"),
             self._dispatcher.choice.is_reachable,
             self._now,
         )
         if table is None:
-            refuse("no_routes", 503)
+            self._refuse(request, "no_routes", 503)
             return
         route = matching.find_route(table, request.host, request.path)
         if route is None:
-            refuse("no_route", 404)
+            self._refuse(request, "no_route", 404)
             return
         exchange = self._beginnings.build(request, route, table)
         choice = self._dispatcher.choice
         for shard in exchange.shards:
             choice.note_request(shard.service, self._now)
-        missing = [
-            shard.service
-            for shard in exchange.shards
-            if not choice.has_target(route, shard.service)
-        ]
+        missing = choice.list_without_target(exchange)
         if len(exchange.shards) - len(missing) < exchange.least:
-            refuse("no_targets", 503, route=route, without_target=missing)
+            self._refuse(
+                request, "no_targets", 503, route=route, without_target=missing
+            )
             return
         if exchange.deadline_at <= self._now:
-            refuse("deadline_past", 504, route=route)
+            self._refuse(request, "deadline_past", 504, route=route)
             return
         self._admission.note_arrived(exchange, self._now)
         excess = self._admission.find_excess(exchange, self._now)
         if excess is not None:
-            refuse("overloaded", 503, route=route, excess=excess)
+            self._refuse(request, "overloaded", 503, route=route, excess=excess)
             return
-        self._open[request.key] = exchange
+        self._send(exchange)
+
+    def _refuse(
+        self,
+        request: exchanges.CallerRequest,
+        reason: str,
+        status: int,
+        **details,
+    ) -> None:
+        self._refusals.refuse(request, reason, status, self._now, **details)
+
+    def _send(self, exchange: _exchange.Exchange) -> None:
+        self._open[exchange.request.key] = exchange
         self._admission.note_begun(exchange)
         self.context.metrics.count("requests_started")
         self._dispatcher.send_all(exchange)
         self._dispatcher.timers.plan(exchange.deadline_at, "deadline", exchange)
-        if route.shards:
+        if exchange.route.shards:
             self._dispatcher.timers.plan(exchange.aim_at, "review", exchange)
         self._review(exchange)
 
--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import signal
+from unittest import mock
 
 from bramleyfork.core import catalogues
 from bramleyfork.entry import controllers
@@ -43,22 +44,25 @@
 
     async def open(self):
         await self.store.open()
-        front, ready, directory, peers, carriers = ports.find_ports(5)
+        front, ready, directory, peers, carriers, metrics = ports.find_ports(6)
         address = "127.0.0.1:{}".format
-        settings = platform_settings.read_settings(
-            fields.FIELDS
-            | {
-                "ip": "127.0.0.1",
-                "listen": {
-                    "front": address(front),
-                    "ready": address(ready),
-                    "directory": address(directory),
-                },
-                "internal_ports": [peers, carriers],
-                "seeds": [],
-                "platform": {"address": address(self.store.address[1])},
-            }
-        )
+        # The port is fixed on the users' machines; two runs of the tests on one
+        # machine must not meet on it.
+        with mock.patch.object(platform_settings, "METRICS_PORT", metrics):
+            settings = platform_settings.read_settings(
+                fields.FIELDS
+                | {
+                    "ip": "127.0.0.1",
+                    "listen": {
+                        "front": address(front),
+                        "ready": address(ready),
+                        "directory": address(directory),
+                    },
+                    "internal_ports": [peers, carriers],
+                    "seeds": [],
+                    "platform": {"address": address(self.store.address[1])},
+                }
+            )
         self.front, self.ready, self.directory = front, ready, directory
         for name, replica in self.replicas.items():
             await replica.open()
@@ -71,11 +75,16 @@
         board = self.host.board
         await live.wait_for(
             lambda: (
-                len(board.find_table("usable")) == len(SHARDS)
+                self.check_running()
+                and len(board.find_table("usable")) == len(SHARDS)
                 and board.find_table("feed_state").get("current")
             )
         )
 
+    def check_running(self):
+        """Raises what ended the host, if it has ended."""
+        return self.task.result() if self.task.done() else True
+
     def list_replica(self, name, **changes):
         address = "{}:{}".format(*self.replicas[name].address)
         zone = "north" if name.endswith("a") else "south"
