Ask the store again soon when other hosts fail too, for a short answer

Now a failure of another host lets the store be asked again 1 s after its own failure, and a store that failed is asked for an answer at once, within 0.5 s that double up to 2 s, where each try of a silent store kept the host deaf for 3 s. While other hosts answer, the store is still left alone for 4 s.

Ruled out: the tree of the feed (six hosts read from the store), the hold of a version (1.5 s, not the case here: no new set of shards was cold). Both new tests failed before.

--- a/src/bramleyfork/entry/controllers/_feed_sources.py
+++ b/src/bramleyfork/entry/controllers/_feed_sources.py
@@ -14,7 +14,7 @@
       members: Hosts by name.
     """
 
-    __slots__ = ("_settings", "_members", "_avoided")
+    __slots__ = ("_settings", "_members", "_avoided", "_store_failed_at")
 
     def __init__(
         self,
@@ -25,6 +25,7 @@
         self._settings = settings
         self._members = members
         self._avoided: dict[str, float] = {}
+        self._store_failed_at = 0.0
 
     def choose(self, now: float) -> str:
         """Returns the best source: sources.STORE or the name of a host."""
@@ -52,8 +53,18 @@
         return self._avoided.get(self.choose(now), 0.0) <= now
 
     def avoid(self, source: str, now: float) -> None:
-        """Leaves a source that failed alone for a while."""
+        """Leaves a source that failed alone for a while.
+
+        The store is left alone for less if another host fails too: it may be
+        back, and each host that stands still takes time to give up.
+        """
         self._avoided[source] = now + sources.AVOID_S
+        if source == sources.STORE:
+            self._store_failed_at = now
+        elif sources.STORE in self._avoided:
+            self._avoided[sources.STORE] = (
+                self._store_failed_at + sources.AVOID_STORE_S
+            )
 
     def find_address(self, source: str) -> fleet.Address | None:
         """Returns where a host answers; None for the store."""
--- a/src/bramleyfork/entry/controllers/feed.py
+++ b/src/bramleyfork/entry/controllers/feed.py
@@ -22,6 +22,10 @@
 # still may be asked in turn before a change has to be in force.
 _ANSWER_LIMIT_S = 1.0
 _PEER_ANSWER_LIMIT_S = 0.5
+# A store that failed is asked for an answer at once, within a limit that
+# doubles with each failure: meanwhile the host hears nobody else.
+_PROBE_LEAST_S = 0.5
+_PROBE_MOST_S = 2.0
 # Sources that are asked at once, one after the other, when all fail.
 _FAILURES_AT_ONCE = 4
 # A watch at another host is free and shows soon that the host stands still.
@@ -60,6 +64,7 @@
         "_lists_fresh",
         "_content",
         "_failures",
+        "_store_failures",
         "_hops",
         "_now",
     )
@@ -89,6 +94,7 @@
             tables={name: self.table(name) for name in _feed_content.WRITTEN},
         )
         self._failures = 0
+        self._store_failures = 0
         self._hops = feeds.NO_SOURCE
         self._now = 0.0
 
@@ -143,6 +149,12 @@
         wait_s, spare_s = _WATCH_S, _ANSWER_LIMIT_S
         if address is not None:
             wait_s, spare_s = _PEER_WATCH_S, _PEER_ANSWER_LIMIT_S
+        elif self._store_failures:
+            wait_s = 0.0
+            spare_s = min(
+                _PROBE_MOST_S,
+                _PROBE_LEAST_S * 2 ** (self._store_failures - 1),
+            )
         if not self._is_current:
             wait_s = 0.0
         return wait_s, wait_s + spare_s
@@ -236,7 +248,10 @@
     def _note_success(self, result: feeds.FeedResult) -> None:
         self._heard_at = max(self._heard_at, self._now - result.age_s)
         self._failures = 0
-        self._hops = 0 if self._source == sources.STORE else result.hops + 1
+        self._hops = result.hops + 1
+        if self._source == sources.STORE:
+            self._hops = 0
+            self._store_failures = 0
         self._backoff_s = _BACKOFF_LEAST_S
         self._read_at = self._now
         if self._is_lost:
@@ -271,6 +286,7 @@
         if self._is_listing:
             self._begin_listing()
         if self._source == sources.STORE:
+            self._store_failures += 1
             self._content.note_lapse()
         self._failures += 1
         self._hops = feeds.NO_SOURCE
--- a/src/bramleyfork/entry/decisions/sources.py
+++ b/src/bramleyfork/entry/decisions/sources.py
@@ -25,6 +25,8 @@
 LEAST_FURTHEST_HOPS = 3
 # A source that failed is left alone for this long.
 AVOID_S = 4.0
+# The same for the store while other hosts fail too.
+AVOID_STORE_S = 1.0
 
 STORE = ""
 
--- a/tests/entry/controllers/test_entry_feed.py
+++ b/tests/entry/controllers/test_entry_feed.py
@@ -288,6 +288,62 @@
     assert read.source is None
 
 
+def fail_peer(fed, after_s):
+    """Lets a read of another host fail after some seconds."""
+    (read,) = fed.take("feed_reads")
+    assert read.source is not None
+    fed.step(after_s)
+    fed.append(
+        "peer_feed_results",
+        feeds.FeedResult(number=read.number, status=feeds.LOST),
+    )
+    fed.step()
+
+
+def test_the_store_is_asked_soon_when_other_hosts_fail_too():
+    # Guards against a host that leaves the store alone for 4 s, waits for hosts
+    # that stand still meanwhile, and hears a version too late (torno-norte,
+    # trouble-3 --seed 653820886382: CONFIG at 12.7 s).
+    fed = start_among(6)
+    answer(fed, status=feeds.LOST)
+    fail_peer(fed, 0.1)
+    fail_peer(fed, 1.0)
+    (read,) = fed.take("feed_reads")
+    assert read.source is None
+
+
+def find_store_read(fed):
+    """Lets reads of other hosts fail until the store is asked."""
+    for _ in range(200):
+        for read in fed.take("feed_reads"):
+            if read.source is None:
+                return read
+            result = feeds.FeedResult(number=read.number, status=feeds.LOST)
+            fed.append("peer_feed_results", result)
+        fed.step(0.1)
+    raise AssertionError("the store is not asked")
+
+
+def test_a_store_that_failed_is_asked_for_a_short_answer():
+    # Guards against a host that is deaf for 3 s at each try of a store that is
+    # silent, while other hosts know the news.
+    fed = start_among(6)
+
+    def finish(status):
+        read = find_store_read(fed)
+        result = feeds.FeedResult(number=read.number, status=status, revision=3)
+        fed.append("feed_results", result)
+        fed.step()
+        return read.wait_s, read.limit_s
+
+    assert finish(feeds.LOST) == (2.0, 3.0)
+    found = [finish(feeds.LOST) for _ in range(4)]
+    assert found == [(0.0, 0.5), (0.0, 1.0), (0.0, 2.0), (0.0, 2.0)]
+    finish(feeds.OK)
+    # It is watched as before.
+    assert finish(feeds.OK) == (2.0, 3.0)
+
+
 def test_the_feed_is_lost_when_no_source_answers():
     fed = start_among(2)
     answer(fed, status=feeds.LOST)
