Judge requests to few shards by fewer waits; keep calls in an outage at the rate of rest

The average reply was 59 ms; a factor of 3 for the slowest reply is that of 18 to 20 shards, and the soak's gathers have 4. The factor now grows with the logarithm of the number of shards: 1.2 for one, 1.9 for three, 2.9 for eighteen.

test_calls_stay_within_their_bound_in_each_phase: 24 calls of a watcher in 8 s of an outage, where pauses that double allowed 12. Cause: watchers ask again within 1 s since, which is what lets news after an outage be in force within 4 s.

--- a/src/bramleyfork/decisions/pacing.py
+++ b/src/bramleyfork/decisions/pacing.py
@@ -9,8 +9,9 @@
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 30.0
 # The same for a host that knows itself to be a watcher. Few hosts are, and
-# after an outage news must be in force everywhere within seconds.
-LONGEST_WATCHER_PAUSE_S = 1.0
+# after an outage news must be in force everywhere within 4 s. With half of it
+# as jitter a watcher calls no more often in an outage than at rest.
+LONGEST_WATCHER_PAUSE_S = 2.0
 FALLBACK_S = 30.0  # Without a message from a watcher.
 
 CALL_TIMEOUT_S = 3.0
--- a/src/bramleyfork/entry/decisions/admission.py
+++ b/src/bramleyfork/entry/decisions/admission.py
@@ -11,8 +11,10 @@
 # hosts. They keep the slots busy and show how fast the targets are.
 _KEPT_PER_SLOT = 3.0
 _LEAST_KEPT = 2
-# The slowest of a request's replies against the average reply of a target.
-_SPREAD = 3.0
+# The slowest of n replies against the average one: the longest of n waits in a
+# queue grows with their logarithm.
+_SPREAD_OF_ONE = 1.2
+_SPREAD_PER_LOG = 0.6
 # Bounds of the time after which a refused caller should come back, seconds.
 _LEAST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 2.0
@@ -70,7 +72,8 @@
         where there is none.
       least: Fewest shards that make an answer.
     """
-    return sorted(delays_s)[least - 1] * _SPREAD
+    spread = _SPREAD_OF_ONE + _SPREAD_PER_LOG * math.log(least)
+    return sorted(delays_s)[least - 1] * spread
 
 
 def find_pause(expected_s: float, left_s: float) -> float:
--- a/tests/entry/decisions/test_entry_admission.py
+++ b/tests/entry/decisions/test_entry_admission.py
@@ -50,6 +50,18 @@
     assert admission.expect_delay(delays, 4) == float("inf")
 
 
+@pytest.mark.parametrize(
+    ("count", "low", "high"), [(1, 1.0, 1.5), (3, 1.5, 2.0), (18, 2.7, 3.2)]
+)
+def test_the_slowest_of_few_replies_is_not_far_from_the_average(
+    count, low, high
+):
+    # Guards against refusals of requests to few shards that would be in time:
+    # soak seed 11 beside load refused 34 of 169 calls after all faults.
+    delay = admission.expect_delay([0.05] * count, count)
+    assert low <= delay / 0.05 <= high
+
+
 @hypothesis.given(
     st.floats(0.0, 1e9) | st.just(float("inf")), st.floats(-1e3, 1e3)
 )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,8 @@
 
 # (seed, faults): a mix of all, and each group that meets one mechanism.
 SHORT = (
+    # Beside load a host refused a fifth of the calls after all faults: it took
+    # the average reply of few shards for a third of the slowest one.
     (11, ()),
     (12, ("kill", "terminate", "pause")),
     (13, ("crash_replica", "drain_replica", "reshard")),
