Count the slots of a request's shards only when some requests are under way

Read once more: each request summed the slots of all targets of its shards before it was known whether any refusal could follow. A host always lets in the first two, so these skip the sum. The verdict is the same, as the number kept is never below two.

--- a/src/bramleyfork/entry/controllers/_admission.py
+++ b/src/bramleyfork/entry/controllers/_admission.py
@@ -14,7 +14,9 @@
 class _Demand:
     """What the requests of one service ask for.
 
-    A gather counts at the first of its shards. Attributes:
+    A gather counts at the first of its shards.
+
+    Attributes:
       under_way: Requests that were let in and are not answered.
       rates: Requests a second of this host by route, refused ones too.
     """
@@ -120,8 +122,10 @@
         It is refused if the targets are asked for more than they can do and
         its answer is expected to miss the aim.
         """
-        route = exchange.route
         demand = self._find_demand(exchange)
+        if demand.under_way < admission.LEAST_KEPT:
+            return None
+        route = exchange.route
         services = [shard.service for shard in exchange.shards]
         slots = sum(self._choice.count_slots(route, s) for s in services)
         slots /= len(services)
--- a/src/bramleyfork/entry/decisions/admission.py
+++ b/src/bramleyfork/entry/decisions/admission.py
@@ -10,7 +10,7 @@
 # Requests under way per slot of a service that are always let in, over all
 # hosts. They keep the slots busy and show how fast the targets are.
 _KEPT_PER_SLOT = 3.0
-_LEAST_KEPT = 2
+LEAST_KEPT = 2  # Of a host, however few slots there are.
 # The slowest of n replies against the average one: the longest of n waits in a
 # queue grows with their logarithm.
 _SPREAD_OF_ONE = 1.2
@@ -59,7 +59,7 @@
       host_count: Hosts that send to them.
     """
     kept = math.ceil(slots * _KEPT_PER_SLOT / max(1, host_count))
-    return max(_LEAST_KEPT, kept)
+    return max(LEAST_KEPT, kept)
 
 
 def expect_delay(
