Ignore items of the store whose values would fail later

Cause: found by reading and hypothesis. An address with a port like U+00B2 raised ValueError, which failed the whole read of the feed as long as the entry existed; a born time over 64 bits could not be sent to other hosts; a port over 65535 left an attempt waiting for ever; a key with a line break added header fields to requests; a route table with fields of another type failed each request that used them. Change: values are checked when they are decoded (type, range, IPv4 address, printable ASCII where they go into an HTTP head); an invalid one is logged and has no content, so the other entries hold and the last valid route table stays in force.

--- a/tests/platform_adapter/test_platform_items.py
+++ b/tests/platform_adapter/test_platform_items.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 import pytest
 
+from bramleyfork.entry.transports import _record_codec
 import platform_items
 
 TARGET = {
@@ -108,6 +109,13 @@
         {"warmup_left_ms": 1.5},
         {"sequence": "4"},
         {"born": "x"},
+        {"born": 10**30},
+        {"slots": 2**64},
+        {"address": "10.0.0.1:\u00b2"},
+        {"address": "10.0.0.1:65536"},
+        {"address": "10.0.0.1:0"},
+        {"address": "replica.example:80"},
+        {"address": "300.0.0.1:80"},
     ],
 )
 def test_an_invalid_target_has_no_content(changes):
@@ -125,6 +133,89 @@
     assert read("servers/t1", fields).content is None
 
 
+@pytest.mark.parametrize("name", ["a\r\nX-Other: 1", "a b", "\u2603", "\x00"])
+def test_a_target_whose_id_does_not_fit_a_header_has_no_content(name):
+    # Guards against header fields that an entry of another program adds to
+    # requests, and against ids that can't be sent at all.
+    assert read(f"servers/{name}", TARGET).content is None
+
+
+ROUTE_FAULTS = {
+    "name": 5,
+    "host": None,
+    "prefix": 1,
+    "timeout_ms": "800",
+    "target_latency_ms": -1,
+    "priority": "high",
+    "gather": ["s1", 2],
+    "max_attempts": 1.5,
+    "top_k": "20",
+    "min_shard_ratio": "all",
+    "allowed_regions": [None],
+}
+
+
+@pytest.mark.parametrize("name", ROUTE_FAULTS)
+def test_a_configuration_with_an_invalid_route_has_no_content(name):
+    # Guards against a table whose fields fail each request that uses them.
+    fields = create_configuration(**{name: ROUTE_FAULTS[name]})
+    assert read("op/config", fields).content is None
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"version": "7"},
+        {"services": [SERVICE | {"max_connections": "25"}]},
+        {"services": [SERVICE | {"health_path": "/a b\r\n"}]},
+        {"limits": LIMITS | {"max_body_bytes": None}},
+        {"routes": [{**ROUTE, "gather": [], "backends": []}]},
+        {"routes": [{**ROUTE, "gather": []}]},
+    ],
+)
+def test_an_invalid_configuration_has_no_content(changes):
+    assert read("op/config", create_configuration() | changes).content is None
+
+
+JSON_VALUES = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=True)
+    | strategies.text(max_size=8)
+    | strategies.sampled_from(["10.0.0.1:\u00b2", "10.0.0.1:99999", ":80"])
+    | strategies.lists(strategies.integers(), max_size=2)
+)
+
+
+@hypothesis.given(
+    key=strategies.text(max_size=8),
+    changes=strategies.dictionaries(
+        strategies.sampled_from(sorted(TARGET)), JSON_VALUES, max_size=3
+    ),
+)
+def test_a_target_that_is_read_can_be_sent_to_other_hosts(key, changes):
+    # Guards against one entry that stops the feed of a host, or of all hosts
+    # that read the feed from it.
+    change = read(f"servers/{key}", TARGET | changes)
+    encoded = _record_codec.encode(change)
+    assert _record_codec.decode(encoded) == change
+    if change.content is not None:
+        change.content.target.encode("latin-1")
+        assert 0 < change.content.address[1] < 65536
+
+
+@hypothesis.given(
+    changes=strategies.dictionaries(
+        strategies.sampled_from(sorted(ROUTE)), JSON_VALUES, max_size=3
+    )
+)
+def test_a_route_that_is_read_can_be_sent_to_other_hosts(changes):
+    change = read("op/config", create_configuration(**changes))
+    encoded = _record_codec.encode(change)
+    assert _record_codec.decode(encoded) == change
+
+
 @hypothesis.given(data=strategies.binary(max_size=60))
 def test_any_bytes_are_read_without_an_error(data):
     assert read("servers/t1", data).content is None
