Keep removed entries out when an older page lists them

Cause: the revision of a removed entry was forgotten, so a listing from a stale store or from a host that is behind brought a target back that had left, and the watch after it did not repeat the removal. Change: kept removals count as known revisions. Also: records nested too deeply are a decode error, not a RecursionError.

--- a/src/bramleyfork/entry/controllers/_feed_content.py
+++ b/src/bramleyfork/entry/controllers/_feed_content.py
@@ -95,8 +95,15 @@
             )
 
     def apply(self, change: feeds.Change) -> None:
-        """Applies a change unless a newer one of the same entry is known."""
+        """Applies a change unless a newer one of the same entry is known.
+
+        Removals are known as long as they are kept for other hosts, so that a
+        listing that is older than a removal does not bring the entry back.
+        """
         known = self._revisions.get(change.key, 0)
+        if not known:
+            removal = self._tables["feed_entries"].get(change.key)
+            known = removal.revision if removal is not None else 0
         if change.revision < known:
             return
         if change.revision == known and not change.is_removed:
--- a/src/bramleyfork/entry/transports/_record_codec.py
+++ b/src/bramleyfork/entry/transports/_record_codec.py
@@ -82,7 +82,12 @@
     """
     try:
         return msgpack.unpackb(data, use_list=False, ext_hook=_decode_extension)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+    except (
+        ValueError,
+        TypeError,
+        RecursionError,
+        msgpack.UnpackException,
+    ) as error:
         raise RecordDecodeError(f"can't decode record: {error}") from error
 
 
