Contain an unexpected exception in the request that caused it

Cause: the controller of requests handled all new records in one step; an exception at one of them was logged by the runner, and the records after it were lost: their callers waited until their deadlines. A large part of a gather was kept whole until the answer was merged. Change: each record and each timer is handled on its own; an exception is logged with its cause, counted by handler, and the request is answered with 500, which promises nothing, after its attempts are aborted. Parts of over 64 KiB are reduced to the records that may be returned. Before: the three new tests fail. After: they pass.

--- a/src/bramleyfork/entry/controllers/_refusals.py
+++ b/src/bramleyfork/entry/controllers/_refusals.py
@@ -54,6 +54,7 @@
         route: declarations.Route | None = None,
         without_target: collections.abc.Sequence[str] = (),
         overload: _admission.OverloadReport | None = None,
+        verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
     ) -> None:
         """Responds to a request with an error status.
 
@@ -65,6 +66,7 @@
           route: The route of the request; None if none was found.
           without_target: Services that have no usable target.
           overload: Load estimates, if the request is refused for overload.
+          verdict: Whether the request may have run.
         """
         feed = self._feed_state.get("current")
         retry_after_s = choose_retry_after(reason, feed)
@@ -84,7 +86,7 @@
             "reason": reason,
             "status": status,
             "without_target": without_target,
-            "verdict": verdicts.Verdict.NOT_RUN.value,
+            "verdict": verdict.value,
         }
         if overload is not None:
             fields |= overload.build_log_fields()
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -1,12 +1,15 @@
 """The controller that forwards requests to targets and answers callers."""
 
+import collections.abc
 import logging
 import random
+import typing
 
 from bramleyfork.core import registries
 from bramleyfork.core import verdicts
 from bramleyfork.entry import carrier_records
 from bramleyfork.entry import components
+from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import _admission
 from bramleyfork.entry.controllers import _carrier_selector
@@ -23,6 +26,9 @@
 
 _LOG = logging.getLogger("bramleyfork.decisions")
 
+# Size up to which a shard's reply is kept as it is until the answer is merged.
+_MAX_KEPT_PART_BYTES = 64 * 1024
+
 # Sections that the dispatcher writes.
 _DISPATCHER_SECTIONS = ("sends", "via_sends", "aborts", "target_faults")
 
@@ -109,23 +115,63 @@
         self._dispatcher.now = now
         self._switch.observe(self.get_table("route_table").get("current"), now)
         for key in self.read_new_records("departures"):
-            self._handle_disconnect(key)
+            self._contain(self._handle_disconnect, key)
         for reply in self.read_new_records("replies") + self.read_new_records(
             "via_failures"
         ):
-            self._handle_reply(reply)
+            self._contain(self._handle_reply, reply)
         for merged in self.read_new_records("via_replies"):
-            self._handle_merged(merged)
+            self._contain(self._handle_merged, merged)
         for request in self.read_new_records("requests"):
-            self._handle_request(request)
+            if not self._contain(self._handle_request, request):
+                self._fail_request(request)
         timers = self._dispatcher.timers
         while (due := timers.pop_due(now)) is not None:
             kind, key = due
             exchange = self._in_flight.get(key)
-            if exchange is not None:
-                _TIMER_HANDLERS.find(kind)(self, exchange)
+            if exchange is None:
+                continue
+            is_handled = self._contain(
+                _TIMER_HANDLERS.find(kind), self, exchange
+            )
+            if not is_handled and kind == "deadline":
+                self._fail_request(exchange.request)
         return timers.find_next()
 
+    def _contain(
+        self, handle: collections.abc.Callable[..., None], *args: typing.Any
+    ) -> bool:
+        """Handles one record; returns False if that raised an exception.
+
+        An unexpected exception concerns one request only. The other records of
+        the step are handled, and the deadline ends a request that was in
+        flight.
+        """
+        try:
+            handle(*args)
+        except Exception:
+            self.context.metrics.count("records_failed", handle.__name__)
+            _LOG.exception("record failed", extra={"handler": handle.__name__})
+            return False
+        return True
+
+    def _fail_request(self, request: exchanges.CallerRequest) -> None:
+        """Answers a request whose handling raised an exception.
+
+        Attempts may have been sent, so the answer doesn't promise anything.
+        """
+        exchange = self._in_flight.get(request.key)
+        if exchange is not None:
+            exchange.is_done = True
+            self._close(exchange)
+        self._refusals.refuse(
+            request,
+            "internal_error",
+            500,
+            self._now,
+            verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        )
+
     # New requests.
 
     def _handle_request(self, request: exchanges.CallerRequest) -> None:
@@ -208,7 +254,7 @@
         if fault is not None:
             self.get_writer("target_faults").append(fault)
         if is_good and shard.reply is None:
-            shard.reply = reply
+            shard.reply = _limit_part(exchange.route, reply)
             exchange.answered_shards += 1
             self._record_latency(attempt)
             self._dispatcher.abort_attempts(shard)
@@ -420,3 +466,17 @@
         self._admission.record_completion(exchange)
         for shard in exchange.shards:
             self._dispatcher.abort_attempts(shard)
+
+
+def _limit_part(
+    route: declarations.Route, reply: exchanges.Reply
+) -> exchanges.Reply:
+    """Returns the reply of a shard without records that can't be returned.
+
+    Replies are kept until the answer is merged, so large ones would add up.
+    """
+    if not route.shards or len(reply.body) <= _MAX_KEPT_PART_BYTES:
+        return reply
+    return reply.replace(
+        body=gathers.merge_records([reply.body], route.record_limit)
+    )
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -6,6 +6,7 @@
 from bramleyfork.entry import feeds
 from bramleyfork.entry import fleet
 from bramleyfork.entry.controllers import exchanges as controller
+from bramleyfork.entry.decisions import matching
 from tests.entry import boards
 from tests.entry import creators
 from tests.entry.decisions import test_entry_gossip as member_updates
@@ -68,6 +69,47 @@
     return dict(response.headers).get(name)
 
 
+# Faults of this host.
+
+
+def test_an_unexpected_exception_concerns_one_request_only(monkeypatch):
+    # Guards against one request that takes the others of its step with it, and
+    # against a caller that waits for an answer until its deadline.
+    harness = start_single()
+    handle = matching.find_route
+
+    def fail(table, host, path):
+        if path == "/find/bad":
+            raise RuntimeError("unexpected")
+        return handle(table, host, path)
+
+    monkeypatch.setattr(matching, "find_route", fail)
+    requests = [
+        creators.create_request(key, received_at=harness.now, path=path)
+        for key, path in ((1, "/find/x"), (2, "/find/bad"), (3, "/find/x"))
+    ]
+    harness.append("requests", *requests)
+    harness.step()
+    assert len(harness.read_new_records("sends")) == 2
+    (response,) = harness.read_new_records("responses")
+    assert (response.key, response.status) == (2, 500)
+
+
+def test_a_request_that_fails_after_its_attempts_were_sent_is_aborted(
+    monkeypatch,
+):
+    harness = start_single()
+
+    def fail(*args):
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(controller.Exchanges, "_review", fail)
+    (send,) = send_request(harness)
+    (response,) = harness.read_new_records("responses")
+    assert response.status == 500
+    assert harness.read_new_records("aborts") == [send.attempt]
+
+
 # Routes to one service.
 
 
@@ -862,3 +904,17 @@
         answer(harness, send)
         harness.now += 10.0
     assert len(harness.component._admission._demands) <= 2
+
+
+def test_a_large_part_is_reduced_to_the_records_that_may_be_returned():
+    # Guards against parts of megabytes that are kept until the last one is in.
+    harness = start_gather(2)
+    first, second = send_request(harness)
+    records = [b"%016d" % number for number in range(10_000)]
+    answer(harness, first, body=b"".join(records))
+    exchange = harness.component._in_flight[1]
+    kept = sum(len(s.reply.body) for s in exchange.shards if s.reply)
+    assert kept == 3 * 16
+    answer(harness, second, body=b"")
+    (response,) = harness.read_new_records("responses")
+    assert response.body == b"".join(reversed(records[-3:]))
