Bound the records that other hosts may send by what they are for

Cause: every stream took frames of up to 32 MB, also those that only carry a read of the feed (some fields) or a call; frames were handled on after the stream was closed. Change: 64 KiB for reads, 4 MiB for calls and their results, 32 MiB for results of the feed; nothing is handled after a close.

--- a/src/bramleyfork/entry/transports/_record_streams.py
+++ b/src/bramleyfork/entry/transports/_record_streams.py
@@ -14,23 +14,32 @@
 _LOG = logging.getLogger(__name__)
 
 _LENGTH = struct.Struct("!I")
-_MAX_FRAME_BYTES = 32 * 1024 * 1024
 
 
 class RecordStream(asyncio.Protocol):
     """One end of a record stream.
 
     Args:
+      max_frame_bytes: Maximum size of a received record. A larger one is a
+        protocol error.
       on_record: Called with this stream and each record that is received.
       on_closed: Called once with this stream when the connection has ended.
       encode: Encodes a record as bytes.
     """
 
-    __slots__ = ("_on_record", "_on_closed", "_encode", "_transport", "_buffer")
+    __slots__ = (
+        "_max_frame_bytes",
+        "_on_record",
+        "_on_closed",
+        "_encode",
+        "_transport",
+        "_buffer",
+    )
 
     def __init__(
         self,
         *,
+        max_frame_bytes: int,
         on_record: collections.abc.Callable[
             ["RecordStream", records.Record], None
         ],
@@ -41,6 +50,7 @@
             [records.Record], bytes
         ] = _record_codec.encode,
     ):
+        self._max_frame_bytes = max_frame_bytes
         self._on_record = on_record
         self._on_closed = on_closed
         self._encode = encode
@@ -68,11 +78,12 @@
         Closes the connection on a frame that is too large or can't be decoded.
         """
         self._buffer += data
-        while len(self._buffer) >= _LENGTH.size:
+        while self._transport is not None and len(self._buffer) >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(self._buffer)
-            if length > _MAX_FRAME_BYTES:
+            if length > self._max_frame_bytes:
                 self.close_with_error(
-                    f"frame of {length} bytes exceeds the limit"
+                    f"frame of {length} bytes exceeds the limit of"
+                    f" {self._max_frame_bytes}"
                 )
                 return
             end = _LENGTH.size + length
--- a/src/bramleyfork/entry/transports/carriers.py
+++ b/src/bramleyfork/entry/transports/carriers.py
@@ -14,6 +14,9 @@
 from bramleyfork.entry.transports import _record_streams
 
 _CONNECT_TIMEOUT_S = 0.3
+# A call holds one request with a small body, a result the merged records of one
+# request.
+_MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 
 class _CarrierStream:
@@ -155,6 +158,7 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, stream = await self._loop.create_connection(
                     lambda: _record_streams.RecordStream(
+                        max_frame_bytes=_MAX_FRAME_BYTES,
                         on_record=lambda _, record: self._handle_result(
                             carrier_address, record
                         ),
@@ -270,6 +274,7 @@
     def _accept(self) -> _record_streams.RecordStream:
         key = next(self._stream_keys)
         stream = _record_streams.RecordStream(
+            max_frame_bytes=_MAX_FRAME_BYTES,
             on_record=lambda _, record: self._handle_call(key, record),
             on_closed=lambda _: self._handle_accepted_closed(key),
         )
--- a/src/bramleyfork/entry/transports/feed_peers.py
+++ b/src/bramleyfork/entry/transports/feed_peers.py
@@ -16,6 +16,8 @@
 # A host refuses reads of others if its own last successful read is older than
 # this.
 _MAX_FEED_AGE_S = 3.5
+_MAX_READ_FRAME_BYTES = 64 * 1024  # A read has a few short fields.
+_MAX_RESULT_FRAME_BYTES = 32 * 1024 * 1024  # A listing of the whole feed.
 
 
 @components.register(
@@ -72,6 +74,7 @@
 
     def _accept(self) -> _record_streams.RecordStream:
         stream = _record_streams.RecordStream(
+            max_frame_bytes=_MAX_READ_FRAME_BYTES,
             on_record=self._handle_read,
             on_closed=self._accepted_streams.discard,
             encode=self._encoder.encode,
@@ -122,6 +125,7 @@
                 async with asyncio.timeout(read.limit_s):
                     _, self._stream = await self._loop.create_connection(
                         lambda: _record_streams.RecordStream(
+                            max_frame_bytes=_MAX_RESULT_FRAME_BYTES,
                             on_record=self._handle_result,
                             on_closed=self._handle_closed,
                         ),
--- a/tests/entry/transports/test_entry_feed_peers.py
+++ b/tests/entry/transports/test_entry_feed_peers.py
@@ -214,6 +214,8 @@
     "data",
     [
         struct.pack("!I", 2**31),
+        # A read is small, so a host can't be made to hold megabytes of it.
+        struct.pack("!I", 1024 * 1024),
         struct.pack("!I", 3) + b"\xc1\xc1\xc1",
         struct.pack("!I", 1) + b"\x07",
         b"GET / HTTP/1.1\r\n\r\n",
--- a/tests/entry/transports/test_entry_record_codec.py
+++ b/tests/entry/transports/test_entry_record_codec.py
@@ -1,3 +1,4 @@
+import msgpack
 import pytest
 
 from bramleyfork.entry import feeds
@@ -44,3 +45,12 @@
         encoder.encode(create_result(tables[0]))
     assert calls.count("RouteTable") == 1
     assert calls.count("FeedResult") == 5
+
+
+def test_records_that_are_nested_too_deeply_are_refused():
+    # Guards against an error that is not the decoder's own.
+    data = _record_codec.encode(())
+    for _ in range(3000):
+        data = msgpack.packb(msgpack.ExtType(1, data))
+    with pytest.raises(_record_codec.RecordDecodeError):
+        _record_codec.decode(data)
