Count the opening of a connection as time that the caller has spent

Cause: an answer of a gather that waits for its last shards leaves so that it arrives at the latency target: arrival + target - one round trip - 5 ms. A caller that opened its connection for the request has spent another round trip, 6 ms on the users' sites, so such answers were late by about 1 ms. Change: the first request of a connection counts two round trips. Before: the new test fails.

--- a/src/bramleyfork/entry/controllers/_connection_limits.py
+++ b/src/bramleyfork/entry/controllers/_connection_limits.py
@@ -15,7 +15,14 @@
       routes: The route table in force.
     """
 
-    __slots__ = ("_region_count", "_members", "_routes")
+    __slots__ = (
+        "_region_count",
+        "_has_seeds",
+        "_members",
+        "_routes",
+        "_listing_table",
+        "_listing_limits",
+    )
 
     def __init__(
         self,
@@ -25,8 +32,13 @@
         routes: blackboard.Table,
     ):
         self._region_count = len(set(settings.regions.values()))
+        self._has_seeds = any(
+            seed != settings.peer_address for seed in settings.seeds
+        )
         self._members = members
         self._routes = routes
+        self._listing_table: declarations.RouteTable | None = None
+        self._listing_limits: dict[str, int] = {}
 
     def find(self, target: declarations.ListedTarget) -> int:
         """Returns the maximum number of connections to a target, at least 1."""
@@ -39,17 +51,31 @@
             region_count=self._region_count,
         )
 
+    def knows_fleet(self) -> bool:
+        """Returns whether this host has heard of another one.
+
+        A host without seeds is the only host of its fleet.
+        """
+        return len(self._members) > 1 or not self._has_seeds
+
     def count_sending_hosts(self, name: str) -> int:
         """Returns how many hosts send to a service's targets, at least 1."""
-        service = self._find_service(name)
-        if service is None:
+        self._update_listing_limits()
+        limit = self._listing_limits.get(name)
+        if limit is None:
             return max(1, len(self._members))
         return placement.count_sending_hosts(
-            service.connection_limit,
+            limit,
             host_count=len(self._members),
             region_count=self._region_count,
         )
 
+    def _update_listing_limits(self) -> None:
+        table = self._routes.get("current")
+        if table is not None and table is not self._listing_table:
+            self._listing_table = table
+            self._listing_limits = placement.find_listing_limits(table)
+
     def _find_service(self, name: str) -> declarations.Service | None:
         table = self._routes.get("current")
         return table.services.get(name) if table else None
--- a/src/bramleyfork/entry/controllers/_feed_sources.py
+++ b/src/bramleyfork/entry/controllers/_feed_sources.py
@@ -1,5 +1,7 @@
 """Chooses the source that the feed is read from."""
 
+import collections.abc
+
 from bramleyfork.core import blackboard
 from bramleyfork.entry import fleet
 from bramleyfork.entry import settings as settings_module
@@ -14,7 +16,13 @@
       members: Entry hosts by name.
     """
 
-    __slots__ = ("_settings", "_members", "_avoided", "_store_failed_at")
+    __slots__ = (
+        "_settings",
+        "_members",
+        "_avoided",
+        "_store_failed_at",
+        "_join_wait_until",
+    )
 
     def __init__(
         self,
@@ -26,16 +34,45 @@
         self._members = members
         self._avoided: dict[str, float] = {}
         self._store_failed_at = 0.0
+        self._join_wait_until: float | None = None
+
+    def choose_first(self, now: float) -> str | None:
+        """Returns the source of the first listing; None to wait for one.
+
+        A host that starts knows no other hosts yet, and so takes the fleet for
+        a small one. When the whole fleet starts for the first time, it waits
+        for an answer of its seeds and lists the feed from a host that serves,
+        which saves one listing of the store per host. Seeds list the store. A
+        host that starts later lists the store too, as callers are waiting.
+        """
+        settings = self._settings
+        if self._join_wait_until is None:
+            self._join_wait_until = now + sources.MAX_JOIN_WAIT_S
+        if (
+            not settings.is_first_start
+            or not settings.seeds
+            or settings.peer_address in settings.seeds
+            or now >= self._join_wait_until
+        ):
+            return self.choose(now)
+        peers = [source for source in self._rank() if source != sources.STORE]
+        return sources.choose_source(peers, self._avoided, now) or None
+
+    def reads_for_others(self) -> bool:
+        """Returns whether other hosts read what this one reads of the store."""
+        return len(self._members) > sources.DIRECT_HOSTS
 
     def choose(self, now: float) -> str:
         """Returns the best source: sources.STORE or the name of a host."""
-        ranked = sources.rank_sources(
+        return sources.choose_source(self._rank(), self._avoided, now)
+
+    def _rank(self) -> collections.abc.Iterator[str]:
+        return sources.rank_sources(
             own_host=self._settings.host,
             own_region=self._settings.region,
             members=self._members.copy_records(),
             regions=self._settings.regions,
         )
-        return sources.choose_source(ranked, self._avoided, now)
 
     def compute_hop_limit(self) -> int:
         """Returns the maximum number of hops from the store to a source."""
--- a/src/bramleyfork/entry/controllers/_target_selector.py
+++ b/src/bramleyfork/entry/controllers/_target_selector.py
@@ -19,12 +19,13 @@
 # Fraction of the configured retry ratio that hosts use. The rest allows for
 # attempts that a target receives in a later window than their request.
 _BUDGET_FRACTION = 0.9
-# Number of hosts that the slack of the retry budget is divided among. It is
-# fixed, as hosts may have been added that are not known to this one yet.
-_SLACK_HOSTS = 16
 # Faults to report for a target, by the fault of an attempt. A carrier reports
 # the status of a failure reply as a fault.
-_REPORTED_FAULTS = {"connect": "connect", "status_421": "misdirected"}
+_REPORTED_FAULTS = {
+    "connect": "connect",
+    "oversized": "oversized",
+    "status_421": "misdirected",
+}
 
 
 class TargetSelector:
@@ -196,7 +197,12 @@
         Returns:
           Whether the budget allowed it.
         """
-        return self._find_budget(shard.service).try_withdraw(now)
+        slack = budgets.compute_slack_share(
+            self._settings.retry_limits.slack,
+            sending_hosts=self.limits.count_sending_hosts(shard.service),
+            knows_fleet=self.limits.knows_fleet(),
+        )
+        return self._find_budget(shard.service).try_withdraw(now, slack=slack)
 
     def _find_budget(self, service: str) -> budgets.RetryBudget:
         found = self._budgets.get(service)
@@ -204,7 +210,6 @@
             limits = self._settings.retry_limits
             found = self._budgets[service] = budgets.RetryBudget(
                 ratio=limits.ratio * _BUDGET_FRACTION,
-                slack=limits.slack / _SLACK_HOSTS,
                 window_s=limits.window_s,
             )
         return found
--- a/src/bramleyfork/entry/controllers/feed.py
+++ b/src/bramleyfork/entry/controllers/feed.py
@@ -20,8 +20,16 @@
 # which a change has to be in force.
 _STORE_WATCH_WAIT_S = 2.0
 # Delay between changes and the next read. Changes come in groups, and each read
-# has a cost for the source.
+# has a cost for the source. A watcher of a large fleet reads less often, as the
+# targets of such a fleet change all the time; reads of hosts cost little.
 _BATCH_DELAY_S = 0.25
+_WATCHER_BATCH_DELAY_S = 0.75
+_PEER_BATCH_DELAY_S = 0.05
+# Time after a listing or a failure for which a watcher uses the short delay:
+# targets are being listed then, and callers wait for them.
+_SETTLING_S = 4.0
+# Interval at which a starting host looks for a host to list the feed from.
+_JOIN_CHECK_INTERVAL_S = 0.05
 # Time beyond the wait of a watch after which a read of the store has failed.
 _STORE_READ_MARGIN_S = 1.0
 # The same for a read of another host. It is short enough to try two
@@ -41,6 +49,8 @@
 # Bounds of the exponential backoff while no source answers.
 _BACKOFF_MIN_S = 0.1
 _BACKOFF_MAX_S = 1.0
+# The upper bound for a host that has not listed the feed and so can't serve.
+_FIRST_BACKOFF_MAX_S = 0.25
 
 
 @components.register(
@@ -74,6 +84,7 @@
         "_failures",
         "_store_failures",
         "_hops",
+        "_unsettled_at",
         "_now",
     )
 
@@ -110,6 +121,7 @@
         self._failures = 0
         self._store_failures = 0
         self._hops = feeds.UNREACHABLE_HOPS
+        self._unsettled_at = 0.0
         self._now = 0.0
 
     def step(self, now: float) -> float | None:
@@ -131,10 +143,19 @@
         return min(times, default=None)
 
     def _read(self) -> None:
+        if not self._after_key:
+            is_first = not self._synced_at
+            source = (
+                self._sources.choose_first(self._now)
+                if is_first
+                else self._sources.choose(self._now)
+            )
+            if source is None:
+                self._read_at = self._now + _JOIN_CHECK_INTERVAL_S
+                return
+            self._source = source
         self._number += 1
         self._pending_read = self._number
-        if not self._after_key:
-            self._source = self._sources.choose(self._now)
         address = self._sources.find_address(self._source)
         if self._is_listing:
             read = feeds.FeedRead(
@@ -175,6 +196,14 @@
             wait_s = 0.0
         return wait_s, wait_s + margin_s
 
+    def _compute_batch_delay(self) -> float:
+        if self._source != sources.STORE:
+            return _PEER_BATCH_DELAY_S
+        is_settled = self._now > self._unsettled_at + _SETTLING_S
+        if is_settled and self._sources.reads_for_others():
+            return _WATCHER_BATCH_DELAY_S
+        return _BATCH_DELAY_S
+
     # Results.
 
     def _handle_result(self, result: feeds.FeedResult) -> None:
@@ -205,7 +234,7 @@
         for change in result.changes:
             self._content.apply(change)
         if result.changes:
-            self._read_at = self._now + _BATCH_DELAY_S
+            self._read_at = self._now + self._compute_batch_delay()
         self._advance(result.revision)
 
     def _start_listing(self) -> None:
@@ -224,6 +253,9 @@
         if result.next_key is not None:
             self._after_key = result.next_key
             return
+        if self._page_revision < self._revision:
+            self._reject_old_listing()
+            return
         listed = {change.key for change in self._pages}
         for change in self._pages:
             self._content.apply(change)
@@ -231,6 +263,7 @@
         self._is_listing = False
         self._after_key = ""
         self._is_current = False
+        self._unsettled_at = self._now
         _LOG.info(
             "feed listed",
             extra={
@@ -246,6 +279,25 @@
         )
         self._revision = max(self._revision, self._page_revision)
 
+    def _reject_old_listing(self) -> None:
+        """Discards a listing that is older than what is already known.
+
+        The removals made since then are not repeated by the following watch,
+        so entries that have been removed would stay.
+        """
+        _LOG.warning(
+            "feed listing discarded: it is older than the known feed",
+            extra={
+                "source": self._source or "store",
+                "revision": self._page_revision,
+                "known_revision": self._revision,
+            },
+        )
+        self._needs_fresh_listing = True
+        if self._source != sources.STORE:
+            self._sources.avoid(self._source, self._now)
+        self._start_listing()
+
     def _advance(self, revision: int) -> None:
         self._revision = max(self._revision, revision)
         self._put_state()
@@ -308,6 +360,7 @@
             self._store_failures += 1
             self._content.start_removal_grace()
         self._failures += 1
+        self._unsettled_at = self._now
         self._hops = feeds.UNREACHABLE_HOPS
         if self.get_table("feed_state").get("current") is not None:
             # Hosts that read from this one switch to another source at once.
@@ -321,4 +374,5 @@
             self._put_state()
         delay_s = self._backoff_s * (0.5 + self._random.random())
         self._read_at = self._now + delay_s
-        self._backoff_s = min(_BACKOFF_MAX_S, 2 * self._backoff_s)
+        limit_s = _BACKOFF_MAX_S if self._synced_at else _FIRST_BACKOFF_MAX_S
+        self._backoff_s = min(limit_s, 2 * self._backoff_s)
--- a/src/bramleyfork/entry/decisions/placement.py
+++ b/src/bramleyfork/entry/decisions/placement.py
@@ -9,6 +9,7 @@
 import math
 
 from bramleyfork.core import records
+from bramleyfork.entry import declarations
 
 MAX_LISTED_HOSTS = 64  # Per answer of the directory.
 CONNECTION_FRACTION = 0.9  # Fraction of a target's connections that hosts use.
@@ -100,14 +101,44 @@
     return max(MIN_HOSTS_PER_REGION, int(hosts / max(1, region_count)))
 
 
+def find_listing_limits(table: declarations.RouteTable) -> dict[str, int]:
+    """Returns the connection limit by which hosts are listed, by service.
+
+    The directory lists hosts for a host name of callers, by the lowest limit
+    of its services. Of several host names that use a service, the one with the
+    most hosts counts.
+    """
+    limits: dict[str, int] = {}
+    for routes in table.routes.values():
+        services = {s for route in routes for s in route.list_services()}
+        listing_limit = find_listing_limit(table, services)
+        for service in services:
+            limits[service] = max(limits.get(service, 0), listing_limit)
+    return limits
+
+
+def find_listing_limit(
+    table: declarations.RouteTable,
+    services: collections.abc.Iterable[str],
+) -> int:
+    """Returns the lowest connection limit of services; 0 without any."""
+    return min(
+        (
+            table.services[service].connection_limit
+            for service in services
+            if service in table.services
+        ),
+        default=0,
+    )
+
+
 def count_sending_hosts(
     connection_limit: int, *, host_count: int, region_count: int
 ) -> int:
     """Returns how many hosts send requests to a target, at least one.
 
     Args:
-      connection_limit: Maximum number of connections that the target accepts
-        from all hosts.
+      connection_limit: Connection limit by which hosts are listed.
       host_count: Number of known hosts.
       region_count: Number of regions.
     """
--- a/src/bramleyfork/entry/decisions/sources.py
+++ b/src/bramleyfork/entry/decisions/sources.py
@@ -1,8 +1,8 @@
 """Chooses where a host reads the feed from: the store or another host.
 
 The request rates that the platform's store allows grow more slowly than the
-fleet. In a large fleet, a few hosts of each region therefore watch the store
-(the watchers), and the others form a distribution tree below them. A host whose
+fleet. In a large fleet, one host of each region therefore watches the store
+(the watcher), and the others form a distribution tree below it. A host whose
 reads the store refuses reads from any other host.
 """
 
@@ -14,11 +14,11 @@
 
 # In a fleet of at most this many hosts, each one watches the store itself.
 DIRECT_HOSTS = 8
-WATCHERS_PER_REGION = 2
+WATCHERS_PER_REGION = 1
 # Maximum number of hosts that read from one host. Each reader costs its source
 # an answer per change, so with this bound a change passes a level of the tree
 # in the same time at any size of the fleet.
-FAN_OUT = 16
+FAN_OUT = 32
 # Hosts of the level above that are tried before the store.
 _MAX_PARENTS = 2
 # Minimum of the hop limit. A host further from the store than the hop limit
@@ -29,6 +29,9 @@
 AVOID_S = 4.0
 # The same for the store while other hosts fail too.
 AVOID_STORE_S = 1.0
+# Time for which a host waits for its seeds to name the other hosts when the
+# whole fleet starts for the first time.
+MAX_JOIN_WAIT_S = 3.0
 
 STORE = ""
 
--- a/src/bramleyfork/entry/directories.py
+++ b/src/bramleyfork/entry/directories.py
@@ -82,14 +82,7 @@
     def _find_connection_limit(self, services: set[str]) -> int:
         """Returns the lowest connection limit of the services, or 0."""
         table = self._find_routes()
-        if table is None:
-            return 0
-        limits = [
-            table.services[service].connection_limit
-            for service in services
-            if service in table.services
-        ]
-        return min(limits, default=0)
+        return placement.find_listing_limit(table, services) if table else 0
 
     def _find_allowed_regions(self, name: str) -> frozenset[str] | None:
         """Returns the regions that may serve all routes of a host name.
--- a/src/bramleyfork/entry/exchanges.py
+++ b/src/bramleyfork/entry/exchanges.py
@@ -22,7 +22,8 @@
       received_at: Monotonic time at which its first byte was read.
       wait_s: Timeout of the caller in seconds; None if it stated none.
       caller: IP address of the caller.
-      rtt_s: Round-trip time to the caller in seconds; 0 if it is not known.
+      transit_s: Seconds that the request and its answer spend on the network to
+        the caller, with the opening of a connection for it; 0 if not known.
     """
 
     __slots__ = (
@@ -37,7 +38,7 @@
         "received_at",
         "wait_s",
         "caller",
-        "rtt_s",
+        "transit_s",
     )
 
     def __init__(
@@ -54,7 +55,7 @@
         received_at: float,
         wait_s: float | None,
         caller: str,
-        rtt_s: float = 0.0,
+        transit_s: float = 0.0,
     ):
         self.key = key
         self.request_id = request_id
@@ -67,7 +68,7 @@
         self.received_at = received_at
         self.wait_s = wait_s
         self.caller = caller
-        self.rtt_s = rtt_s
+        self.transit_s = transit_s
 
 
 class TargetRequest(records.Record):
--- a/src/bramleyfork/entry/settings.py
+++ b/src/bramleyfork/entry/settings.py
@@ -50,6 +50,8 @@
       cores: Number of its CPU cores; may be a fraction.
       link_mbps: Bandwidth of its network link in Mbit/s.
       seeds: Peer addresses of hosts that may be running.
+      is_first_start: Whether the whole fleet starts for the first time, so that
+        there is time until callers come.
       retry_limits: Retry budget of each service.
       directory_lifetime_s: Seconds for which callers may keep a directory
         answer.
@@ -70,6 +72,7 @@
         "cores",
         "link_mbps",
         "seeds",
+        "is_first_start",
         "retry_limits",
         "directory_lifetime_s",
         "grace_s",
@@ -90,6 +93,7 @@
         cores: float = 1.0,
         link_mbps: float = 1000.0,
         seeds: tuple[tuple[str, int], ...] = (),
+        is_first_start: bool = False,
         retry_limits: RetryBudgetLimits,
         directory_lifetime_s: float = DIRECTORY_LIFETIME_S,
         grace_s: float = 6.0,
@@ -106,6 +110,7 @@
         self.cores = cores
         self.link_mbps = link_mbps
         self.seeds = seeds
+        self.is_first_start = is_first_start
         self.retry_limits = retry_limits
         self.directory_lifetime_s = directory_lifetime_s
         self.grace_s = grace_s
--- a/tests/entry/controllers/test_entry_feed.py
+++ b/tests/entry/controllers/test_entry_feed.py
@@ -189,6 +189,33 @@
     assert harness.get("listed_targets", "b") is None
 
 
+def test_a_listing_older_than_the_known_feed_is_discarded():
+    # Guards against a target that left but is used again: the watch after an
+    # old listing doesn't repeat the removals that are known already.
+    harness = start()
+    answer(harness, change_target("a", 3), revision=3)
+    answer(harness, change_target("a", 8, is_removed=True), revision=8)
+    wait(harness)
+    answer(harness, status=feeds.GONE)
+    wait(harness)
+    old = answer(harness, change_target("a", 3), revision=5)
+    assert old.kind == feeds.LIST
+    assert harness.get("listed_targets", "a") is None
+    wait(harness)
+    again = answer(harness, revision=8)
+    assert (again.kind, again.is_fresh) == (feeds.LIST, True)
+    assert harness.get("listed_targets", "a") is None
+
+
+def test_a_page_older_than_a_removal_does_not_bring_a_target_back():
+    harness = start()
+    answer(harness, change_target("a", 3), revision=3)
+    answer(harness, change_target("a", 8, is_removed=True), revision=8)
+    wait(harness)
+    answer(harness, change_target("a", 3), revision=9)
+    assert harness.get("listed_targets", "a") is None
+
+
 def test_an_evacuation_is_applied_and_removed():
     harness = start()
     answer(harness, change_evacuation("north", 3), revision=3)
@@ -268,6 +295,118 @@
     return harness
 
 
+SEEDS = (("127.0.0.2", 70), ("127.0.0.3", 70))
+
+
+def start_with_seeds(**changes):
+    settings = creators.create_settings(
+        **{
+            "seeds": SEEDS,
+            "peer_address": ("127.0.0.1", 70),
+            "is_first_start": True,
+        }
+        | changes
+    )
+    harness = boards.ComponentHarness(
+        controller.Feed, context=creators.create_context(settings=settings)
+    )
+    harness.step()
+    return harness
+
+
+def put_member(harness, number, **changes):
+    update = member_updates.create_update(number, **changes)
+    harness.put(
+        "members",
+        f"host-{number}",
+        fleet.Member(update=update, changed_at=0.0),
+    )
+
+
+def test_a_starting_host_lists_the_feed_from_a_host_that_serves():
+    # Guards against a large fleet that lists the store once per host when it
+    # starts: a starting host knows no others, and so takes the fleet for small.
+    harness = start_with_seeds()
+    assert harness.read_new_records("feed_reads") == []
+    put_member(harness, 2, state=fleet.STARTING)
+    harness.step(0.2)
+    assert harness.read_new_records("feed_reads") == []
+    put_member(harness, 2)
+    harness.step(0.2)
+    (read,) = harness.read_new_records("feed_reads")
+    assert (read.kind, read.source) == (feeds.LIST, SEEDS[0])
+
+
+def test_a_host_that_starts_later_lists_the_store_at_once():
+    # Guards against callers that wait while a restarted fleet looks for a host
+    # that serves.
+    harness = start_with_seeds(is_first_start=False)
+    (read,) = harness.read_new_records("feed_reads")
+    assert (read.kind, read.source) == (feeds.LIST, None)
+
+
+def test_a_host_without_a_listing_asks_a_store_that_failed_often():
+    # Guards against callers that are refused for a second after the store and
+    # all hosts have come back.
+    harness = start()
+    for _ in range(6):
+        answer(harness, status=feeds.LOST)
+        due = harness.due
+        assert due - harness.now <= 0.25 * 1.5
+        harness.step(due - harness.now)
+
+
+def test_a_starting_host_whose_seeds_are_down_lists_the_store():
+    # Guards against a host that is never ready because its seeds are stale.
+    harness = start_with_seeds()
+    harness.step(4.0)
+    (read,) = harness.read_new_records("feed_reads")
+    assert (read.kind, read.source) == (feeds.LIST, None)
+
+
+def test_a_starting_host_does_not_list_twice_from_a_host_that_failed():
+    harness = start_with_seeds()
+    put_member(harness, 2)
+    harness.step(0.1)
+    fail_peer(harness, 0.1)
+    put_member(harness, 3)
+    harness.step(0.2)
+    (read,) = harness.read_new_records("feed_reads")
+    assert read.source == SEEDS[1]
+
+
+def test_a_seed_lists_the_store_at_once():
+    # Guards against seeds that wait for each other when a whole fleet starts.
+    harness = boards.ComponentHarness(
+        controller.Feed,
+        context=creators.create_context(
+            settings=creators.create_settings(
+                seeds=SEEDS, peer_address=SEEDS[0], is_first_start=True
+            )
+        ),
+    )
+    harness.step()
+    (read,) = harness.read_new_records("feed_reads")
+    assert read.source is None
+
+
+@pytest.mark.parametrize(("count", "delay_s"), [(6, 0.25), (60, 0.75)])
+def test_a_watcher_of_a_large_fleet_reads_the_store_less_often(count, delay_s):
+    # Guards against store calls that grow with the number of targets, whose
+    # changes otherwise end each watch at once.
+    harness = start()
+    for number in range(2, count + 1):
+        put_member(harness, number, data_centre="south")
+    answer(harness, revision=3)
+    answer(harness, revision=3)
+    wait(harness, 5.0)
+    answer(harness, change_target("a", 4), revision=4)
+    harness.step(delay_s - 0.01)
+    assert harness.read_new_records("feed_reads") == []
+    harness.step(0.02)
+    assert len(harness.read_new_records("feed_reads")) == 1
+
+
 def test_a_host_refused_by_the_store_reads_from_another_host_at_once():
     harness = start_among(3)
     read = answer(harness, status=feeds.REFUSED)
--- a/tests/entry/transports/test_entry_callers.py
+++ b/tests/entry/transports/test_entry_callers.py
@@ -7,6 +7,7 @@
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import lifecycle
 from bramleyfork.entry.transports import callers
+from bramleyfork.entry.transports import http_server
 from tests.entry import component_runner
 from tests.entry import creators
 from tests.entry import ports
@@ -339,3 +340,61 @@
             assert (await read_response(reader))[0] == 200
 
     run(work)
+
+
+def test_the_first_request_of_a_connection_takes_one_round_trip_more(
+    monkeypatch,
+):
+    # Guards against answers that are late by the time that the caller spent on
+    # opening its connection.
+    monkeypatch.setattr(http_server, "_measure_round_trip", lambda sock: 0.006)
+
+    async def work():
+        async with run_callers() as harness:
+            reader, writer = await connect(harness)
+            spent = []
+            for _ in range(3):
+                writer.write(VALID)
+                request = await wait_for_request(harness)
+                spent.append(request.transit_s)
+                respond(harness, request)
+                await read_response(reader)
+            assert spent == [0.012, 0.006, 0.006]
+
+    run(work)
+
+
+CHUNKED = HEAD + b"Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("begin", "repeated"),
+    [
+        (HEAD + b"X-Long: ", b"a" * 1024),
+        (HEAD, b"X-Field: a\r\n" * 100),
+        (CHUNKED + b"1;a=", b"a" * 1024),
+        (CHUNKED + b"0\r\n", b"X-Field: a\r\n" * 100),
+        (CHUNKED + b"0\r\nX-Long: ", b"a" * 1024),
+        (CHUNKED, b"400\r\n" + b"a" * 1024 + b"\r\n"),
+    ],
+    ids=["line", "head", "extension", "trailers", "trailer", "body"],
+)
+def test_a_request_without_end_is_refused_and_nothing_is_passed_on(
+    begin, repeated
+):
+    # Guards against a caller that makes the host hold bytes without bound.
+    async def work():
+        async with run_callers(header_bytes=2048, body_bytes=8192) as harness:
+            reader, writer = await connect(harness)
+            writer.write(begin)
+            sent = 0
+            with contextlib.suppress(OSError):
+                while sent < 1_000_000 and not reader.at_eof():
+                    writer.write(repeated)
+                    await writer.drain()
+                    sent += len(repeated)
+                    await asyncio.sleep(0)
+            assert sent < 1_000_000
+            assert harness.read_new_records("requests") == []
+
+    run(work)
