Show that work at a silent target is neither repeated nor given up

A request that isn't idempotent keeps its attempt while its target is silent, out of use or out of the listing, and gets the late reply. The test passed at once, so nothing is changed.

--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -110,6 +110,25 @@
     assert harness.read_new_records("aborts") == [send.attempt]
 
 
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_work_at_a_silent_target_is_neither_repeated_nor_given_up(is_listed):
+    # Guards against a second run of a request that isn't idempotent, and
+    # against an answer that is thrown away, because its target was silent or
+    # had left the listing for a while.
+    harness = start_single(idempotent=False, timeout_s=5.0)
+    (send,) = send_request(harness, wait_s=5.0)
+    others = [creators.create_target("s1b", "s1", data_centre="south")]
+    harness.put("usable", "s1", tuple(others))
+    if not is_listed:
+        harness.remove("listed_targets", send.target.target)
+    harness.step(4.0)
+    assert harness.read_new_records("sends") == []
+    assert harness.read_new_records("aborts") == []
+    answer(harness, send, body=b"late")
+    (response,) = harness.read_new_records("responses")
+    assert (response.status, response.body) == (200, b"late")
+
+
 # Routes to one service.
 
 
