Let joining hosts read changes from their seeds

Ruled out: failures of sources (none logged), listings (3 of the store). Change: for 8 s after the first start of a fleet, hosts read from serving seeds, which read the store; a host that has listed the feed and finds none reads the store. The test of growing pauses now starts from a host that has listed the feed: before it has, pauses end at 0.25 s, which has its own test.

--- a/src/bramleyfork/entry/controllers/_feed_sources.py
+++ b/src/bramleyfork/entry/controllers/_feed_sources.py
@@ -21,7 +21,7 @@
         "_members",
         "_avoided",
         "_store_failed_at",
-        "_join_wait_until",
+        "_started_at",
     )
 
     def __init__(
@@ -34,29 +34,42 @@
         self._members = members
         self._avoided: dict[str, float] = {}
         self._store_failed_at = 0.0
-        self._join_wait_until: float | None = None
+        self._started_at: float | None = None
 
-    def choose_first(self, now: float) -> str | None:
-        """Returns the source of the first listing; None to wait for one.
+    def choose_at_start(self, now: float, *, is_listed: bool) -> str | None:
+        """Returns the source to read from; None to wait for one.
 
-        A host that starts knows no other hosts yet, and so takes the fleet for
-        a small one. When the whole fleet starts for the first time, it waits
-        for an answer of its seeds and lists the feed from a host that serves,
-        which saves one listing of the store per host. Seeds list the store. A
-        host that starts later lists the store too, as callers are waiting.
+        When the whole fleet starts for the first time, a host lists the feed
+        from a host that serves, and waits for one, which saves one listing of
+        the store per host. Until it has heard of all hosts, it also reads
+        changes from its seeds. Seeds read the store. A host that starts later
+        lists the store at once, as callers are waiting.
+
+        Args:
+          now: Monotonic time in seconds.
+          is_listed: Whether this host has listed the feed.
         """
         settings = self._settings
-        if self._join_wait_until is None:
-            self._join_wait_until = now + sources.MAX_JOIN_WAIT_S
+        if self._started_at is None:
+            self._started_at = now
         if (
             not settings.is_first_start
             or not settings.seeds
             or settings.peer_address in settings.seeds
-            or now >= self._join_wait_until
+            or now >= self._started_at + sources.JOINING_S
         ):
             return self.choose(now)
-        peers = [source for source in self._rank() if source != sources.STORE]
-        return sources.choose_source(peers, self._avoided, now) or None
+        members = self._members.copy_records()
+        if is_listed and len(members) <= sources.DIRECT_HOSTS:
+            return self.choose(now)
+        peers = sources.rank_joining_sources(
+            members=members, seeds=settings.seeds, ranked=self._rank()
+        )
+        found = sources.choose_source(peers, self._avoided, now)
+        if found != sources.STORE:
+            return found
+        is_waiting = now < self._started_at + sources.MAX_JOIN_WAIT_S
+        return None if is_waiting and not is_listed else self.choose(now)
 
     def reads_for_others(self) -> bool:
         """Returns whether other hosts read what this one reads of the store."""
--- a/src/bramleyfork/entry/controllers/feed.py
+++ b/src/bramleyfork/entry/controllers/feed.py
@@ -144,11 +144,8 @@
 
     def _read(self) -> None:
         if not self._after_key:
-            is_first = not self._synced_at
-            source = (
-                self._sources.choose_first(self._now)
-                if is_first
-                else self._sources.choose(self._now)
+            source = self._sources.choose_at_start(
+                self._now, is_listed=self._synced_at > 0.0
             )
             if source is None:
                 self._read_at = self._now + _JOIN_CHECK_INTERVAL_S
--- a/src/bramleyfork/entry/decisions/sources.py
+++ b/src/bramleyfork/entry/decisions/sources.py
@@ -29,9 +29,11 @@
 AVOID_S = 4.0
 # The same for the store while other hosts fail too.
 AVOID_STORE_S = 1.0
-# Time for which a host waits for its seeds to name the other hosts when the
-# whole fleet starts for the first time.
+# Times since the start of a process when the whole fleet starts for the first
+# time: for the first one, the host waits for another one to list the feed from;
+# for the second, the news of all hosts has not reached it yet.
 MAX_JOIN_WAIT_S = 3.0
+JOINING_S = 8.0
 
 STORE = ""
 
@@ -160,6 +162,29 @@
     )
 
 
+def rank_joining_sources(
+    *,
+    members: collections.abc.Mapping[str, fleet.Member],
+    seeds: collections.abc.Collection[fleet.Address],
+    ranked: collections.abc.Iterable[str],
+) -> list[str]:
+    """Returns the hosts that a joining host reads from, best first.
+
+    A joining host does not know yet which hosts of the tree serve, and the
+    store could not answer all hosts of a large fleet that starts. The seeds
+    read the store, so they come first, in the order of ``ranked``.
+
+    Args:
+      members: Known hosts by name.
+      seeds: Peer addresses of the seeds.
+      ranked: The sources as ``rank_sources`` yields them.
+    """
+    hosts = [source for source in ranked if source != STORE]
+    return sorted(
+        hosts, key=lambda host: members[host].update.peer_address not in seeds
+    )
+
+
 def _serves(member: fleet.Member) -> bool:
     return member.update.state == fleet.SERVING
 
--- a/tests/entry/controllers/test_entry_feed.py
+++ b/tests/entry/controllers/test_entry_feed.py
@@ -157,6 +157,7 @@
 
 def test_a_failed_read_is_repeated_with_growing_pauses():
     harness = start()
+    answer(harness, revision=3)
     answer(harness, status=feeds.LOST)
     assert harness.read_new_records("feed_reads") == []
     assert harness.get("feed_state").is_lost
@@ -364,6 +365,33 @@
     assert (read.kind, read.source) == (feeds.LIST, None)
 
 
+def test_a_joining_host_of_a_large_fleet_reads_changes_from_its_seeds():
+    # Guards against a start at which every host watches the store until it has
+    # heard which hosts of the tree serve: 100 calls/s with 195 hosts.
+    harness = start_with_seeds()
+    for number in range(2, 60):
+        state = fleet.SERVING if number == 3 else fleet.STARTING
+        put_member(harness, number, state=state)
+    harness.step(0.1)
+    for _ in range(3):
+        (read,) = harness.read_new_records("feed_reads")
+        assert read.source == SEEDS[1]
+        harness.append(
+            "peer_feed_results",
+            feeds.FeedResult(number=read.number, status=feeds.OK, revision=3),
+        )
+        harness.step(0.5)
+    harness.step(8.0)
+    (read,) = harness.read_new_records("feed_reads")
+    harness.append(
+        "peer_feed_results",
+        feeds.FeedResult(number=read.number, status=feeds.OK, revision=3),
+    )
+    harness.step()
+    (read,) = harness.read_new_records("feed_reads")
+    assert read.source is None
+
+
 def test_a_starting_host_does_not_list_twice_from_a_host_that_failed():
     harness = start_with_seeds()
     put_member(harness, 2)
