Count pending shards as they end

Cause: after each reply of a gather all its shards were gone through to count those that may still reply: 470,000 checks for 120 queries of 87 shards, the largest item of a profile of the entry host after the wait for sockets. Change: an exchange keeps the counts of answered and given up shards; the size of a head is summed only if more bytes than the bound have arrived.

--- a/src/bramleyfork/entry/controllers/_dispatcher.py
+++ b/src/bramleyfork/entry/controllers/_dispatcher.py
@@ -301,7 +301,7 @@
         delay_s *= 0.5 + self._random.random()
         shard.retry_at = self.now + delay_s
         if shard.retry_at >= exchange.deadline_at:
-            shard.is_given_up = True
+            exchange.give_up(shard)
             return
         self.timers.schedule(shard.retry_at, "retry", exchange)
 
--- a/src/bramleyfork/entry/controllers/_exchange.py
+++ b/src/bramleyfork/entry/controllers/_exchange.py
@@ -107,6 +107,7 @@
       shards: One per service that the request is sent to.
       min_shards: Minimum number of shards that an answer must include.
       answered_shards: Number of shards with a successful reply.
+      given_up_shards: Number of shards that are given up without a reply.
       deadline_at: Time at which the request is answered in any case.
       aim_at: Latest time to send an answer that meets the latency target.
       late_cutoff_at: Time until which an answer that misses the latency target
@@ -131,6 +132,7 @@
         "shards",
         "min_shards",
         "answered_shards",
+        "given_up_shards",
         "deadline_at",
         "aim_at",
         "late_cutoff_at",
@@ -163,6 +165,7 @@
         self.shards = [Shard(service=service) for service in services]
         self.min_shards = min_shards
         self.answered_shards = 0
+        self.given_up_shards = 0
         self.deadline_at = deadline_at
         self.aim_at = aim_at
         self.late_cutoff_at = late_cutoff_at
@@ -175,6 +178,28 @@
         self.merged_bodies: list[bytes] = []
         self.is_done = False
 
+    def set_reply(self, shard: Shard, reply: exchanges.Reply) -> None:
+        """Stores the successful reply of a shard."""
+        if shard.reply is None:
+            self.answered_shards += 1
+            if shard.is_given_up:
+                self.given_up_shards -= 1
+        shard.reply = reply
+
+    def give_up(self, shard: Shard) -> None:
+        """Gives up a shard: no retry will be made."""
+        if shard.is_pending():
+            self.given_up_shards += 1
+        shard.is_given_up = True
+
+    def count_pending(self) -> int:
+        """Returns the number of shards that may still reply.
+
+        It is counted as shards end: a request of many shards asks for it after
+        each reply.
+        """
+        return len(self.shards) - self.answered_shards - self.given_up_shards
+
     def combine_verdicts(self) -> verdicts.Verdict:
         """Returns whether the request may have run in any of its attempts."""
         seen = [v for shard in self.shards for v in shard.verdicts]
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -254,8 +254,7 @@
         if fault is not None:
             self.get_writer("target_faults").append(fault)
         if is_good and shard.reply is None:
-            shard.reply = _limit_part(exchange.route, reply)
-            exchange.answered_shards += 1
+            exchange.set_reply(shard, _limit_part(exchange.route, reply))
             self._record_latency(attempt)
             self._dispatcher.abort_attempts(shard)
             self._review(exchange)
@@ -300,9 +299,7 @@
                     attempt, reply, self._now
                 )
                 self._record_latency(attempt)
-            if shard.reply is None:
-                exchange.answered_shards += 1
-            shard.reply = reply
+            exchange.set_reply(shard, reply)
             shard.verdicts.append(reply.verdict)
             self._dispatcher.abort_attempts(shard)
         self._review(exchange)
@@ -349,7 +346,7 @@
         shard: _exchange.Shard,
     ) -> None:
         if not _dispatcher.may_retry(exchange.route, shard):
-            shard.is_given_up = True
+            exchange.give_up(shard)
             return
         exchange.retries += 1
         # Another target is tried at once, the same one after a delay.
@@ -401,7 +398,7 @@
         """Answers a request if its answer is ready or won't improve in time."""
         if exchange.is_done:
             return
-        pending = sum(1 for shard in exchange.shards if shard.is_pending())
+        pending = exchange.count_pending()
         if not exchange.route.shards:
             if exchange.answered_shards or not pending:
                 self._finish(exchange)
@@ -424,8 +421,7 @@
     @_TIMER_HANDLERS.register("deadline")
     def _expire(self, exchange: _exchange.Exchange) -> None:
         for shard in exchange.shards:
-            if shard.reply is None:
-                shard.is_given_up = True
+            exchange.give_up(shard)
         self._finish(exchange)
 
     # Completion.
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -279,8 +279,9 @@
         if self._is_complete:
             return
         self._is_head_read = True
-        size = sum(len(name) + len(value) for name, value in self._headers)
-        self._is_oversized = size > _MAX_FRAMING_BYTES
+        if self._size > _MAX_FRAMING_BYTES:
+            size = sum(len(name) + len(value) for name, value in self._headers)
+            self._is_oversized = size > _MAX_FRAMING_BYTES
         self._status = self._parser.get_status_code()
         self._has_declared_length = any(
             name.lower() in (b"content-length", b"transfer-encoding")
