--- a/src/bramleyfork/entry/controllers/_feed_sources.py
+++ b/src/bramleyfork/entry/controllers/_feed_sources.py
@@ -63,7 +63,11 @@
         if is_listed and len(members) <= sources.DIRECT_HOSTS:
             return self.choose(now)
         peers = sources.rank_joining_sources(
-            members=members, seeds=settings.seeds, ranked=self._rank()
+            members=members,
+            seeds=settings.seeds,
+            regions=settings.regions,
+            own_region=settings.region,
+            ranked=self._rank(),
         )
         found = sources.choose_source(peers, self._avoided, now)
         if found != sources.STORE:
--- a/src/bramleyfork/entry/decisions/sources.py
+++ b/src/bramleyfork/entry/decisions/sources.py
@@ -166,23 +166,33 @@
     *,
     members: collections.abc.Mapping[str, fleet.Member],
     seeds: collections.abc.Collection[fleet.Address],
+    regions: collections.abc.Mapping[str, str],
+    own_region: str,
     ranked: collections.abc.Iterable[str],
 ) -> list[str]:
     """Returns the hosts that a joining host reads from, best first.
 
     A joining host does not know yet which hosts of the tree serve, and the
     store could not answer all hosts of a large fleet that starts. The seeds
-    read the store, so they come first, in the order of ``ranked``.
+    read the store, so they come first. Of several, those of the own region come
+    first, then the order of ``ranked`` counts.
 
     Args:
       members: Known hosts by name.
       seeds: Peer addresses of the seeds.
+      regions: Region by data centre.
+      own_region: Region of this host.
       ranked: The sources as ``rank_sources`` yields them.
     """
-    hosts = [source for source in ranked if source != STORE]
-    return sorted(
-        hosts, key=lambda host: members[host].update.peer_address not in seeds
-    )
+
+    def compute_key(host: str) -> tuple[bool, bool]:
+        update = members[host].update
+        return (
+            update.peer_address not in seeds,
+            regions.get(update.data_centre) != own_region,
+        )
+
+    return sorted((s for s in ranked if s != STORE), key=compute_key)
 
 
 def _serves(member: fleet.Member) -> bool:
--- a/tests/entry/decisions/test_entry_sources.py
+++ b/tests/entry/decisions/test_entry_sources.py
@@ -153,3 +153,21 @@
     ranked = ["a", "b", "c"]
     watchers = ["a", "b", "c"][: sources.WATCHERS_PER_REGION]
     assert sources.list_parents(ranked, "new") == watchers
+
+
+def test_a_joining_host_reads_from_a_seed_of_its_region():
+    # Guards against listings that every host of a starting fleet fetches from
+    # another region.
+    members = create_fleet(60)
+    ranked = [*rank(1, members)]
+    seeds = [members[f"host-{n}"].update.peer_address for n in (3, 4, 5)]
+    found = sources.rank_joining_sources(
+        members=members,
+        seeds=seeds,
+        regions=creators.REGIONS,
+        own_region=creators.REGIONS[CENTRES[1]],
+        ranked=ranked,
+    )
+    assert found[0] == "host-4"
+    assert set(found[:3]) == {"host-3", "host-4", "host-5"}
+    assert sources.STORE not in found
