Revert counting the opening of a connection as spent

Cause: the change counted the opening twice. Conclusion: reverted; the missed targets of the large site's short kind have another cause (work of the host on 87 sub-requests).

--- a/src/bramleyfork/entry/controllers/_exchange_builder.py
+++ b/src/bramleyfork/entry/controllers/_exchange_builder.py
@@ -67,7 +67,7 @@
             - _DEADLINE_MARGIN_S,
             aim_at=received_at
             + hedges.find_answer_delay(
-                route.aim_s, elapsed_before_s, request.transit_s
+                route.aim_s, elapsed_before_s, request.rtt_s
             ),
             late_cutoff_at=received_at + hedges.find_late_delay(route.aim_s),
             elapsed_before_s=elapsed_before_s,
--- a/src/bramleyfork/entry/decisions/hedges.py
+++ b/src/bramleyfork/entry/decisions/hedges.py
@@ -129,7 +129,7 @@
 
 
 def find_answer_delay(
-    aim_s: float, elapsed_before_s: float, transit_s: float
+    aim_s: float, elapsed_before_s: float, rtt_s: float
 ) -> float:
     """Returns the seconds within which an answer meets the latency target.
 
@@ -139,10 +139,9 @@
       aim_s: Latency target in seconds from the caller's start.
       elapsed_before_s: Seconds that the caller had been waiting when its
         request arrived.
-      transit_s: Seconds that the request and its answer spend on the network to
-        the caller.
+      rtt_s: Round-trip time to the caller in seconds.
     """
-    return aim_s - elapsed_before_s - transit_s - _ANSWER_SLACK_S
+    return aim_s - elapsed_before_s - rtt_s - _ANSWER_SLACK_S
 
 
 def find_late_delay(aim_s: float) -> float:
--- a/src/bramleyfork/entry/exchanges.py
+++ b/src/bramleyfork/entry/exchanges.py
@@ -22,8 +22,7 @@
       received_at: Monotonic time at which its first byte was read.
       wait_s: Timeout of the caller in seconds; None if it stated none.
       caller: IP address of the caller.
-      transit_s: Seconds that the request and its answer spend on the network to
-        the caller, with the opening of a connection for it; 0 if not known.
+      rtt_s: Round-trip time to the caller in seconds; 0 if it is not known.
     """
 
     __slots__ = (
@@ -38,7 +37,7 @@
         "received_at",
         "wait_s",
         "caller",
-        "transit_s",
+        "rtt_s",
     )
 
     def __init__(
@@ -55,7 +54,7 @@
         received_at: float,
         wait_s: float | None,
         caller: str,
-        transit_s: float = 0.0,
+        rtt_s: float = 0.0,
     ):
         self.key = key
         self.request_id = request_id
@@ -68,7 +67,7 @@
         self.received_at = received_at
         self.wait_s = wait_s
         self.caller = caller
-        self.transit_s = transit_s
+        self.rtt_s = rtt_s
 
 
 class TargetRequest(records.Record):
--- a/src/bramleyfork/entry/transports/callers.py
+++ b/src/bramleyfork/entry/transports/callers.py
@@ -220,5 +220,5 @@
             received_at=http_request.received_at,
             wait_s=wait_s,
             caller=connection.caller,
-            transit_s=connection.rtt_s * connection.count_round_trips(),
+            rtt_s=connection.rtt_s,
         )
--- a/src/bramleyfork/entry/transports/http_server.py
+++ b/src/bramleyfork/entry/transports/http_server.py
@@ -139,7 +139,6 @@
     Attributes:
       caller: IP address of the caller.
       rtt_s: Round-trip time to the caller; 0 if it is not known.
-      request_count: Number of requests passed to the handler so far.
       state: IDLE, READING_HEAD, READING_BODY or BUSY.
       state_changed_at: Monotonic time at which the state last became IDLE,
         READING_HEAD or READING_BODY.
@@ -148,7 +147,6 @@
     __slots__ = (
         "caller",
         "rtt_s",
-        "request_count",
         "state",
         "state_changed_at",
         "_handler",
@@ -171,7 +169,6 @@
     ):
         self.caller = ""
         self.rtt_s = 0.0
-        self.request_count = 0
         self.state = IDLE
         self.state_changed_at = loop.time()
         self._handler = handler
@@ -321,14 +318,6 @@
             return
         self._handle_next()
 
-    def count_round_trips(self) -> int:
-        """Returns the round trips to the caller that the current request takes.
-
-        The first request of a connection takes another one, as the caller
-        waited for the connection to be opened.
-        """
-        return 2 if self.request_count == 1 else 1
-
     def refuse(self, status: int) -> None:
         """Refuses the request that is being read and closes the connection.
 
@@ -364,7 +353,6 @@
             return
         self._current = self._queued.popleft()
         self.state = BUSY
-        self.request_count += 1
         if len(self._queued) == _MAX_PIPELINED_REQUESTS:
             self._transport.resume_reading()
         self._handler.handle_request(self, self._current)
