Accept numbers of any length in header fields

Cause: found by reading. A keep-alive timeout, a remaining warm-up time or a caller's deadline of hundreds of digits raised OverflowError or ValueError while the message was read: an attempt waited for its deadline, a health check had no result, a caller's connection was closed without an answer. Change: such a number counts as the largest one that is exact as a floating-point number. Before: the new tests fail. After: they pass.

--- a/src/bramleyfork/entry/http_headers.py
+++ b/src/bramleyfork/entry/http_headers.py
@@ -2,6 +2,20 @@
 
 from bramleyfork.core import records
 
+_MAX_COUNT_DIGITS = 15  # So that a count is exact as a floating-point number.
+
+
+def parse_count(value: bytes) -> int:
+    """Returns the number that a header field of decimal digits holds.
+
+    A number with too many digits counts as the largest one, as it can't be
+    used in calculations with times.
+    """
+    digits = value.strip().lstrip(b"0") or b"0"
+    if len(digits) > _MAX_COUNT_DIGITS:
+        return 10**_MAX_COUNT_DIGITS - 1
+    return int(digits)
+
 
 class HeaderNames(records.Record):
     """Header names, in lower case, used with callers and targets.
--- a/src/bramleyfork/entry/transports/callers.py
+++ b/src/bramleyfork/entry/transports/callers.py
@@ -6,6 +6,7 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
+from bramleyfork.entry import http_headers
 from bramleyfork.entry.transports import http_server
 
 _LOG = logging.getLogger(__name__)
@@ -205,7 +206,7 @@
         if deadlines:
             if not deadlines[0].isdigit():
                 return None
-            wait_s = int(deadlines[0]) / 1000
+            wait_s = http_headers.parse_count(deadlines[0]) / 1000
         key = self._next_key
         self._next_key += 1
         return exchanges.CallerRequest(
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -6,11 +6,14 @@
 
 import httptools
 
+from bramleyfork.entry import http_headers
+
 # Idle connections are closed this long before the target's keep-alive timeout:
 # a request that is sent while the target closes the connection may have run.
 _KEEP_ALIVE_MARGIN_S = 1.0
 # Time for which a connection may be reused if the target states no timeout.
 _KEEP_ALIVE_DEFAULT_S = 20.0
+_KEEP_ALIVE_MAX_S = 600  # A longer stated timeout counts as this one.
 # Maximum number of bytes of a response, with its head and its framing.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Maximum number of bytes without a byte of the body: of the head, of interim
@@ -382,5 +385,6 @@
     for field in value.split(b","):
         name, _, seconds = field.strip().partition(b"=")
         if name.lower() == b"timeout" and seconds.strip().isdigit():
-            return max(0.0, int(seconds) - _KEEP_ALIVE_MARGIN_S)
+            stated_s = min(_KEEP_ALIVE_MAX_S, http_headers.parse_count(seconds))
+            return max(0.0, stated_s - _KEEP_ALIVE_MARGIN_S)
     return _KEEP_ALIVE_DEFAULT_S
--- a/tests/entry/transports/test_entry_callers.py
+++ b/tests/entry/transports/test_entry_callers.py
@@ -375,3 +375,18 @@
             assert harness.read_new_records("requests") == []
 
     run(work)
+
+
+def test_a_deadline_of_too_many_digits_is_a_long_one():
+    # Guards against an error that closes the connection without an answer.
+    async def work():
+        async with run_callers() as harness:
+            reader, writer = await connect(harness)
+            head = HEAD + b"Request-Id: r1\r\nDeadline-Ms: "
+            writer.write(head + b"9" * 5000 + b"\r\n\r\n")
+            request = await wait_for_request(harness)
+            assert request.wait_s > 1e9
+            respond(harness, request)
+            assert (await read_response(reader))[0] == 200
+
+    run(work)
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -503,6 +503,37 @@
     return result
 
 
+HUGE_NUMBER = "9" * 5000
+
+
+def test_a_timeout_of_too_many_digits_is_a_long_one():
+    # Guards against an error that leaves the attempt waiting for its deadline.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.reply_fault = lambda request, reply: http_stand_in.Reply(
+                status=200,
+                headers=(
+                    *reply.headers,
+                    ("Keep-Alive", f"timeout={HUGE_NUMBER}"),
+                ),
+                body=reply.body,
+            )
+            assert (await ask(harness)).status == 200
+            assert (await ask(harness)).status == 200
+            assert replica.server.connections == 1
+
+    run(work)
+
+
+def test_a_warmup_of_too_many_digits_is_a_long_one():
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.warmup_ms = HUGE_NUMBER
+            assert (await check_health(harness)).warmup_s > 1e9
+
+    run(work)
+
+
 def test_a_health_check_of_a_target_that_is_down_fails():
     async def work():
         async with run_targets() as (harness, replica):
