--- a/src/bramleyfork/entry/transports/callers.py
+++ b/src/bramleyfork/entry/transports/callers.py
@@ -7,7 +7,7 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import http_headers
-from bramleyfork.entry.transports import http_server
+from bramleyfork.entry.transports import server_connections
 
 _LOG = logging.getLogger(__name__)
 
@@ -45,9 +45,13 @@
         self.limits = declarations.CallerLimits()
         self.is_closing = False
         self._server: asyncio.Server | None = None
-        self._connections: set[http_server.ServerConnection] = set()
-        self._connection_by_key: dict[int, http_server.ServerConnection] = {}
-        self._key_by_connection: dict[http_server.ServerConnection, int] = {}
+        self._connections: set[server_connections.ServerConnection] = set()
+        self._connection_by_key: dict[
+            int, server_connections.ServerConnection
+        ] = {}
+        self._key_by_connection: dict[
+            server_connections.ServerConnection, int
+        ] = {}
         self._next_key = 1
         self._timeouts_checked_at = 0.0
         self._last_open_work: exchanges.OpenWork | None = None
@@ -57,7 +61,9 @@
         loop = asyncio.get_running_loop()
         host, port = self.context.settings.caller_address
         self._server = await loop.create_server(
-            lambda: http_server.ServerConnection(handler=self, loop=loop),
+            lambda: server_connections.ServerConnection(
+                handler=self, loop=loop
+            ),
             host,
             port,
             backlog=_BACKLOG,
@@ -123,34 +129,36 @@
             self._server = None
         if phase.phase == "closing":
             for connection in list(self._connections):
-                if connection.state == http_server.IDLE:
+                if connection.state == server_connections.IDLE:
                     connection.close()
 
     def _close_timed_out(self, now: float) -> None:
         limits = self.limits
         for connection in list(self._connections):
             age = now - connection.state_changed_at
-            if connection.state == http_server.READING_HEAD:
+            if connection.state == server_connections.READING_HEAD:
                 if age > limits.header_s:
                     connection.refuse(408)
-            elif connection.state == http_server.READING_BODY:
+            elif connection.state == server_connections.READING_BODY:
                 if age > limits.idle_s:
                     connection.refuse(408)
             elif (
-                connection.state == http_server.IDLE
+                connection.state == server_connections.IDLE
                 and age > limits.idle_s * _IDLE_LIMIT_FACTOR
             ):
                 connection.close()
 
     # Called by connections.
 
-    def add_connection(self, connection: http_server.ServerConnection) -> None:
+    def add_connection(
+        self, connection: server_connections.ServerConnection
+    ) -> None:
         """Adds a new connection."""
         self._connections.add(connection)
         self._report_work()
 
     def remove_connection(
-        self, connection: http_server.ServerConnection
+        self, connection: server_connections.ServerConnection
     ) -> None:
         """Removes a connection and reports the request that waited on it."""
         self._connections.discard(connection)
@@ -164,8 +172,8 @@
 
     def handle_request(
         self,
-        connection: http_server.ServerConnection,
-        http_request: http_server.HttpRequest,
+        connection: server_connections.ServerConnection,
+        http_request: server_connections.HttpRequest,
     ) -> None:
         """Passes on a request; answers an invalid one with status 400."""
         request = self._read_request(connection, http_request)
@@ -180,8 +188,8 @@
 
     def _read_request(
         self,
-        connection: http_server.ServerConnection,
-        http_request: http_server.HttpRequest,
+        connection: server_connections.ServerConnection,
+        http_request: server_connections.HttpRequest,
     ) -> exchanges.CallerRequest | None:
         header_names = self.context.header_names
         values_by_name: dict[bytes, list[bytes]] = {
--- a/src/bramleyfork/entry/transports/directory_server.py
+++ b/src/bramleyfork/entry/transports/directory_server.py
@@ -8,6 +8,7 @@
 from bramleyfork.entry import directories
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.transports import http_server
+from bramleyfork.entry.transports import server_connections
 
 ResponseFields = tuple[int, exchanges.Headers, bytes]
 
@@ -62,7 +63,7 @@
         return (200 if self.directory.is_ready() else 503), (), b""
 
     def _handle_request(
-        self, http_request: http_server.HttpRequest
+        self, http_request: server_connections.HttpRequest
     ) -> ResponseFields:
         path, _, query = http_request.url.decode("latin-1").partition("?")
         return self.build_response(path, query)
--- a/src/bramleyfork/entry/transports/metrics.py
+++ b/src/bramleyfork/entry/transports/metrics.py
@@ -9,6 +9,7 @@
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import metrics
 from bramleyfork.entry.transports import http_server
+from bramleyfork.entry.transports import server_connections
 
 _PREFIX = "bramleyfork_"
 _TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
@@ -47,7 +48,7 @@
         self._server.close()
 
     def _handle_request(
-        self, http_request: http_server.HttpRequest
+        self, http_request: server_connections.HttpRequest
     ) -> tuple[int, exchanges.Headers, bytes]:
         path = http_request.url.partition(b"?")[0]
         if path == b"/metrics":
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -12,7 +12,7 @@
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
-from bramleyfork.entry.transports import http_server
+from bramleyfork.entry.transports import server_connections
 
 _CONNECT_TIMEOUT_S = 1.0
 _PROBE_TIMEOUT_S = 1.0
@@ -301,7 +301,10 @@
         lines = [b"%s %s HTTP/1.1" % (request.method, request.url)]
         for name, value in request.headers:
             lower = name.lower()
-            if lower in http_server.CONNECTION_FIELDS or lower in dropped:
+            if (
+                lower in server_connections.CONNECTION_FIELDS
+                or lower in dropped
+            ):
                 continue
             if lower == b"expect":
                 continue
--- a/tests/entry/transports/test_entry_decoder_fuzz.py
+++ b/tests/entry/transports/test_entry_decoder_fuzz.py
@@ -14,8 +14,8 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import feeds
 from bramleyfork.entry.transports import http_client
-from bramleyfork.entry.transports import http_server
 from bramleyfork.entry.transports import peers
+from bramleyfork.entry.transports import server_connections
 import platform_store
 
 pytestmark = pytest.mark.fuzz
@@ -102,10 +102,10 @@
 def test_any_bytes_of_a_caller_are_read_or_refused(pieces):
     # Guards against bytes that raise in the event loop or pass a limit.
     handler, transport = Handler(), Transport()
-    connection = http_server.ServerConnection(handler=handler, loop=Clock())
-    with contextlib.suppress(AttributeError):
-        connection.connection_made(transport)
-    connection._transport = transport
+    connection = server_connections.ServerConnection(
+        handler=handler, loop=Clock()
+    )
+    connection.connection_made(transport)
     for piece in pieces:
         if transport.is_closed:
             break
