Test by which limit the hosts that send to a service are counted

The count feeds the budgets and the admission since the slack is divided among the hosts that the directory lists; it had no test of its own.

--- a/tests/entry/decisions/test_entry_placement.py
+++ b/tests/entry/decisions/test_entry_placement.py
@@ -1,6 +1,8 @@
 import pytest
 
+from bramleyfork.entry import declarations
 from bramleyfork.entry.decisions import placement
+from tests.entry import creators
 
 
 def create_host(address, region, capacity=1.0):
@@ -131,3 +133,36 @@
     assert count >= 2
     if count > 2:
         assert count * regions * 4 <= limit
+
+
+def test_a_service_is_sent_to_by_the_hosts_listed_for_its_host_name():
+    # Guards against a demand or a budget that is worked out for all hosts of a
+    # large fleet, though the directory lists few: callers of a host name use
+    # the hosts that its service with the fewest connections allows.
+    routes = (
+        creators.create_route(
+            name="a", shares=(declarations.Share(service="few", weight=1.0),)
+        ),
+        creators.create_route(
+            name="b",
+            prefix="/b/",
+            shares=(declarations.Share(service="many", weight=1.0),),
+        ),
+        creators.create_route(
+            name="c",
+            host="b.example",
+            shares=(declarations.Share(service="other", weight=1.0),),
+        ),
+    )
+    limits = {"few": 25, "many": 1200, "other": 430}
+    table = creators.create_table(*routes).replace(
+        services={
+            name: creators.create_service(name, connection_limit=limit)
+            for name, limit in limits.items()
+        }
+    )
+    assert placement.find_listing_limits(table) == {
+        "few": 25,
+        "many": 25,
+        "other": 430,
+    }
