Log the fingerprint of lost attempts and whether the target ended

A lost attempt was logged with the caller's id, which is new each time, and the same way whether its target ended or one reply was lost; the hypotheses of the timeline could not be told apart. The line now names a fingerprint of the content, and the fault is "ended" if the connection that replaces the lost one is refused or all connections closed together. The report of a lost attempt waits for that, 50 ms at most.

--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -20,6 +20,7 @@
 from bramleyfork.entry.controllers import _outcomes
 from bramleyfork.entry.controllers import _refusals
 from bramleyfork.entry.controllers import _target_selector
+from bramleyfork.entry.decisions import fingerprints
 from bramleyfork.entry.decisions import gathers
 from bramleyfork.entry.decisions import matching
 from bramleyfork.entry.decisions import switching
@@ -29,6 +30,9 @@
 # Size up to which a shard's reply is kept as it is until the answer is merged.
 _MAX_KEPT_PART_BYTES = 64 * 1024
 
+# Faults of attempts that ended without a byte of a reply.
+_FAULTS_WITHOUT_REPLY = frozenset(("lost", "ended"))
+
 # Sections that the dispatcher writes.
 _DISPATCHER_SECTIONS = ("sends", "via_sends", "aborts", "target_faults")
 
@@ -328,17 +332,19 @@
         if not reply.fault:
             shard.failure = reply
         self.context.metrics.count("attempts_failed", fault)
-        _LOG.info(
-            "attempt failed",
-            extra={
-                "request": exchange.request.request_id.decode("latin-1"),
-                "service": shard.service,
-                "target": attempt.target.target,
-                "fault": fault,
-                "verdict": reply.verdict.value,
-                "after_ms": round((self._now - attempt.sent_at) * 1000, 1),
-            },
-        )
+        fields = {
+            "request": exchange.request.request_id.decode("latin-1"),
+            "service": shard.service,
+            "target": attempt.target.target,
+            "fault": fault,
+            "verdict": reply.verdict.value,
+            "after_ms": round((self._now - attempt.sent_at) * 1000, 1),
+        }
+        if fault in _FAULTS_WITHOUT_REPLY:
+            fields["fingerprint"] = fingerprints.compute_fingerprint(
+                exchange.request
+            )
+        _LOG.info("attempt failed", extra=fields)
 
     def _retry(
         self,
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -105,6 +105,8 @@
       is_busy: Whether a request waits for its response.
       is_open: Whether the connection is open.
       request_count: Number of requests sent so far.
+      is_closed_here: Whether this side has closed it.
+      has_reply: Whether a byte of a response to the last request was received.
     """
 
     __slots__ = (
@@ -113,6 +115,8 @@
         "is_busy",
         "is_open",
         "request_count",
+        "is_closed_here",
+        "has_reply",
         "_budget",
         "_loop",
         "_on_response",
@@ -147,6 +151,8 @@
         self.is_busy = False
         self.is_open = False
         self.request_count = 0
+        self.is_closed_here = False
+        self.has_reply = False
         self._budget = budget
         self._size = 0
         self._loop = loop
@@ -194,6 +200,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._is_head = is_head
         self.is_busy = True
+        self.has_reply = False
         self.request_count += 1
         self.last_used_at = self._loop.time()
         self._transport.write(data)
@@ -201,6 +208,7 @@
     def abort(self) -> None:
         """Closes the connection at once; ``on_response`` is not called."""
         self.is_busy = False
+        self.is_closed_here = True
         self._clear()
         if self._transport is not None:
             self._transport.abort()
@@ -219,6 +227,7 @@
             # told apart from it.
             self.abort()
             return
+        self.has_reply = True
         if not self._reserve(len(data)):
             self._fail("oversized")
             return
@@ -375,6 +384,7 @@
         self._clear()
         self._on_response(self, reply, "")
         if not keeps_alive and self._transport is not None:
+            self.is_closed_here = True
             self._transport.close()
 
 
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -4,18 +4,21 @@
 """
 
 import asyncio
-import collections
 import socket
 
 from bramleyfork.core import verdicts
 from bramleyfork.entry import components
 from bramleyfork.entry import exchanges
+from bramleyfork.entry.transports import _target_pools
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
 from bramleyfork.entry.transports import server_connections
 
 _CONNECT_TIMEOUT_S = 1.0
 _PROBE_TIMEOUT_S = 1.0
+# Time for which the report of a lost attempt waits for the check of whether its
+# target ended.
+_END_CHECK_TIMEOUT_S = 0.05
 _MAX_QUEUED_PER_TARGET = 16  # Attempts that are queued for one target.
 # Maximum idle time of a connection that is reused for a request that may run
 # only once. If the target closes the connection when the request is sent, it is
@@ -29,42 +32,6 @@
 _MAX_PROBE_RECEIVING_BYTES = 1024 * 1024
 
 
-class _Attempt:
-    """An attempt that waits for a connection or for its reply.
-
-    Attributes:
-      send: The request and its target.
-      pool: The connections to the target.
-      connection: The connection it was sent on; None while it is queued.
-    """
-
-    __slots__ = ("send", "pool", "connection")
-
-    def __init__(self, *, send: exchanges.TargetRequest, pool: "_Pool"):
-        self.send = send
-        self.pool = pool
-        self.connection: http_client.ClientConnection | None = None
-
-
-class _Pool:
-    """The connections to one target, and the attempts that wait for one.
-
-    Attributes:
-      idle: Connections without a request.
-      count: Number of connections, including those that are being opened.
-      opening: Number of connections that are being opened.
-      waiting: Queued attempts.
-    """
-
-    __slots__ = ("idle", "count", "opening", "waiting")
-
-    def __init__(self):
-        self.idle: list[http_client.ClientConnection] = []
-        self.count = 0
-        self.opening = 0
-        self.waiting: collections.deque[_Attempt] = collections.deque()
-
-
 @components.register(
     components.TRANSPORTS,
     "target_connections",
@@ -90,9 +57,11 @@
     def start(self) -> None:
         """Sets up state before the first step."""
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._pools: dict[tuple[str, int], _Pool] = {}
-        self._attempts: dict[int, _Attempt] = {}
-        self._by_connection: dict[http_client.ClientConnection, _Attempt] = {}
+        self._pools: dict[tuple[str, int], _target_pools.Pool] = {}
+        self._attempts: dict[int, _target_pools.Attempt] = {}
+        self._by_connection: dict[
+            http_client.ClientConnection, _target_pools.Attempt
+        ] = {}
         self._tasks: set[asyncio.Task] = set()
         self._budget = http_client.ReceiveBudget(
             limit_bytes=_MAX_RECEIVING_BYTES
@@ -150,8 +119,8 @@
         address = send.target.address
         pool = self._pools.get(address)
         if pool is None:
-            pool = self._pools[address] = _Pool()
-        attempt = _Attempt(send=send, pool=pool)
+            pool = self._pools[address] = _target_pools.Pool()
+        attempt = _target_pools.Attempt(send=send, pool=pool)
         self._attempts[send.attempt] = attempt
         connection = self._take_idle(pool, send, now)
         if connection is not None:
@@ -164,7 +133,10 @@
         self._open_if_needed(address, pool, send.connection_limit)
 
     def _take_idle(
-        self, pool: _Pool, send: exchanges.TargetRequest, now: float
+        self,
+        pool: _target_pools.Pool,
+        send: exchanges.TargetRequest,
+        now: float,
     ) -> http_client.ClientConnection | None:
         while pool.idle:
             connection = pool.idle.pop()
@@ -180,15 +152,20 @@
         return None
 
     def _open_if_needed(
-        self, address: tuple[str, int], pool: _Pool, limit: int
+        self, address: tuple[str, int], pool: _target_pools.Pool, limit: int
     ) -> None:
         if pool.count >= limit or pool.opening >= len(pool.waiting):
             return
+        self._open(address, pool)
+
+    def _open(self, address: tuple[str, int], pool: _target_pools.Pool) -> None:
         pool.count += 1
         pool.opening += 1
         self._start_task(self._connect(address, pool))
 
-    async def _connect(self, address: tuple[str, int], pool: _Pool) -> None:
+    async def _connect(
+        self, address: tuple[str, int], pool: _target_pools.Pool
+    ) -> None:
         loop = self._loop
         closed = False
 
@@ -197,8 +174,7 @@
             if not closed:
                 closed = True
                 pool.count -= 1
-                if connection in pool.idle:
-                    pool.idle.remove(connection)
+                pool.remove(connection, loop.time())
                 if pool.waiting:
                     limit = pool.waiting[0].send.connection_limit
                     self._open_if_needed(address, pool, limit)
@@ -215,26 +191,31 @@
                     ),
                     *address,
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             pool.opening -= 1
             pool.count -= 1
+            self._settle_losses(
+                pool, has_ended=isinstance(error, ConnectionRefusedError)
+            )
             self._fail_waiting(pool)
             return
         pool.opening -= 1
+        self._settle_losses(pool, has_ended=pool.has_lost_all(loop.time()))
+        pool.connections.add(connection)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         now = loop.time()
         connection.reusable_until = now + _CONNECT_TIMEOUT_S
         self._assign_or_release(pool, connection, now)
 
-    def _fail_waiting(self, pool: _Pool) -> None:
+    def _fail_waiting(self, pool: _target_pools.Pool) -> None:
         while pool.waiting:
             attempt = pool.waiting.popleft()
             self._report_fault(attempt, "connect", verdicts.Verdict.NOT_RUN)
 
     def _assign_or_release(
         self,
-        pool: _Pool,
+        pool: _target_pools.Pool,
         connection: http_client.ClientConnection,
         now: float,
     ) -> None:
@@ -249,7 +230,7 @@
 
     def _write(
         self,
-        attempt: _Attempt,
+        attempt: _target_pools.Attempt,
         connection: http_client.ClientConnection,
         now: float,
     ) -> None:
@@ -339,6 +320,9 @@
         attempt = self._by_connection.pop(connection, None)
         if attempt is None:
             return
+        if response is None and fault == "lost" and not connection.has_reply:
+            self._check_loss(attempt, connection)
+            return
         self._attempts.pop(attempt.send.attempt, None)
         if response is None:
             self._report_fault(attempt, fault, verdicts.Verdict.MAY_HAVE_RUN)
@@ -356,8 +340,42 @@
         elif connection.reusable_until > now:
             self._assign_or_release(attempt.pool, connection, now)
 
+    def _check_loss(
+        self,
+        attempt: _target_pools.Attempt,
+        connection: http_client.ClientConnection,
+    ) -> None:
+        """Finds out whether a target ended or only lost one reply.
+
+        It does so by opening the connection that replaces the lost one. The
+        attempt is reported once that has succeeded or failed.
+        """
+        pool = attempt.pool
+        attempt.connection = None
+        pool.lost.append(attempt)
+        pool.remove(connection, self._loop.time())
+        if len(pool.lost) > 1:
+            return
+        self._loop.call_later(
+            _END_CHECK_TIMEOUT_S, self._settle_losses, pool, False
+        )
+        self._open(attempt.send.target.address, pool)
+
+    def _settle_losses(self, pool: _target_pools.Pool, has_ended: bool) -> None:
+        lost, pool.lost = pool.lost, []
+        for attempt in lost:
+            if attempt.send.attempt in self._attempts:
+                self._report_fault(
+                    attempt,
+                    "ended" if has_ended else "lost",
+                    verdicts.Verdict.MAY_HAVE_RUN,
+                )
+
     def _report_fault(
-        self, attempt: _Attempt, fault: str, verdict: verdicts.Verdict
+        self,
+        attempt: _target_pools.Attempt,
+        fault: str,
+        verdict: verdicts.Verdict,
     ) -> None:
         self._attempts.pop(attempt.send.attempt, None)
         self.get_writer("replies").append(
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -541,3 +541,60 @@
             assert not (await check_health(harness)).is_healthy
 
     run(work)
+
+
+async def lose(harness, replica, *, is_down):
+    """Returns the reply to a request at which the target closes."""
+
+    def close(request, reply):
+        del request, reply
+        if is_down:
+            asyncio.get_running_loop().create_task(replica.close())
+
+    replica.reply_fault = close
+    return await ask(harness)
+
+
+@pytest.mark.parametrize(
+    ("is_down", "fault"), [(True, "ended"), (False, "lost")]
+)
+def test_the_end_of_a_target_is_told_from_a_lost_reply(is_down, fault):
+    # Guards against a request that is blamed where only its reply was lost.
+    async def work():
+        async with run_targets() as (harness, replica):
+            reply = await lose(harness, replica, is_down=is_down)
+            assert (reply.fault, reply.verdict) == (fault, MAY_HAVE_RUN)
+
+    run(work)
+
+
+def test_a_target_that_closes_all_connections_at_once_has_ended():
+    # Guards against a target that ends and listens again before it is checked.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.service_time_s = 0.02
+            for _ in range(3):
+                send(harness)
+            await wait_for_replies(harness, 3)
+            replica.reply_fault = lambda request, reply: None
+            for _ in range(3):
+                send(harness)
+            found = await wait_for_replies(harness, 3)
+            assert {reply.fault for reply in found} == {"ended"}
+
+    run(work)
+
+
+def test_an_aborted_attempt_is_no_sign_of_an_end():
+    # Guards against hedges that are cut off here and count as ends.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.service_time_s = 0.05
+            numbers = [send(harness) for _ in range(3)]
+            await asyncio.sleep(0.02)
+            harness.append("aborts", *numbers[:2])
+            replica.reply_fault = lambda request, reply: None
+            (reply,) = await wait_for_replies(harness, 1)
+            assert reply.fault == "lost"
+
+    run(work)
