--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -74,8 +74,9 @@
     def has_lost_all(self, now: float) -> bool:
         """Returns whether the target has closed all connections at once.
 
-        It holds if there were several and they have just closed. A target that ended and started again at once shows this way; one that
-        lost a single reply keeps its other connections.
+        It holds if there were several and they have just closed. A target that
+        ended and started again at once shows this way; one that lost a single
+        reply keeps its other connections.
         """
         return (
             not self.connections
