Keep what hosts learn from answers as one kind of record

A host had no place for something that it learnt from an answer and that other hosts must know. An observation has a kind, a subject, an owner, an age and an end; the controller "observations" merges them, tells them to the other hosts in datagrams of their own (hosts of earlier releases drop these), repeats them against losses, and exchanges some with a random host each second and with each new process of a host. Nothing uses them yet.

--- /dev/null
+++ b/src/bramleyfork/entry/decisions/observations.py
@@ -0,0 +1,200 @@
+"""Kinds of observations: how they are merged and how long they hold."""
+
+import collections.abc
+
+from bramleyfork.core import registries
+from bramleyfork.entry import observations
+
+# Services that one observation names; bounds the size of a datagram.
+MAX_SERVICES = 16
+# Occasions that are kept of one kind, subject and host.
+MAX_OCCASIONS = 4
+# Observations that a host keeps. Each takes about 1 kB.
+MAX_OBSERVATIONS = 10_000
+# Hosts that are told of a new observation at once. Each of them tells as many
+# if there are more hosts than that.
+FANOUT = 8
+OBSERVATIONS_PER_MESSAGE = 8
+# New observations are sent this often, as datagrams may be lost.
+SEND_ROUNDS = 3
+SEND_INTERVAL_S = 0.3
+# Interval at which a host sends some observations to a random host, which may
+# have missed them.
+ANTI_ENTROPY_INTERVAL_S = 1.0
+# Observations in such an exchange, about 1 kB, and for a host that is new.
+EXCHANGE_SIZE = 8
+NEW_HOST_SIZE = 256
+
+CRASH = "crash"
+TRIAL_CRASH = "trial_crash"
+COMPLETION = "completion"
+
+
+class Kind:
+    """How observations of one kind are made and kept.
+
+    Attributes:
+      lifetime_s: Longest time in seconds for which an observation holds.
+      merge: Returns the value after another finding on the same occasion, from
+        the value so far and that of the finding.
+    """
+
+    __slots__ = ("lifetime_s", "merge")
+
+    def __init__(
+        self,
+        *,
+        lifetime_s: float,
+        merge: collections.abc.Callable[[float, float], float],
+    ):
+        self.lifetime_s = lifetime_s
+        self.merge = merge
+
+
+KINDS: registries.Registry[Kind] = registries.Registry(kind="observation")
+
+Key = tuple[str, str]
+Known = tuple[observations.Observation, ...]
+
+
+def register_kind(
+    name: str, *, lifetime_s: float
+) -> collections.abc.Callable[
+    [collections.abc.Callable[[float, float], float]],
+    collections.abc.Callable[[float, float], float],
+]:
+    """Returns a decorator that registers a kind by its merge function.
+
+    Args:
+      name: Name of the kind.
+      lifetime_s: Longest time in seconds for which an observation holds.
+    """
+
+    def store(merge):
+        KINDS.register(name)(Kind(lifetime_s=lifetime_s, merge=merge))
+        return merge
+
+    return store
+
+
+@register_kind(CRASH, lifetime_s=300.0)
+@register_kind(TRIAL_CRASH, lifetime_s=300.0)
+def count_ends(before: float, added: float) -> float:
+    """Counts the targets that ended on one occasion."""
+    return before + added
+
+
+@register_kind(COMPLETION, lifetime_s=300.0)
+def keep_strongest(before: float, added: float) -> float:
+    """Keeps 1 once a trial has completed."""
+    return max(before, added)
+
+
+def get_key(observation: observations.Observation) -> Key:
+    """Returns the key under which a host keeps an observation."""
+    return observation.kind, observation.subject
+
+
+def select_in_force(known: Known | None, now: float) -> Known:
+    """Returns the observations that still hold.
+
+    Args:
+      known: Observations of one kind and subject; None for none.
+      now: Monotonic time in seconds.
+    """
+    return tuple(o for o in known or () if o.ends_at > now)
+
+
+def merge(known: Known, received: observations.Observation) -> Known | None:
+    """Returns the observations with a new one, or None if nothing changes.
+
+    An observation replaces an older one of the same host and occasion. Of each
+    host the last ``MAX_OCCASIONS`` are kept.
+
+    Args:
+      known: Observations of the same kind and subject.
+      received: The new observation.
+    """
+    others = []
+    for observation in known:
+        if not _is_same(observation, received):
+            others.append(observation)
+        elif _compute_version(observation) >= _compute_version(received):
+            return None
+    own = [o for o in (*others, received) if o.host == received.host]
+    if len(own) > MAX_OCCASIONS:
+        oldest = min(own, key=_compute_version)
+        if oldest is received:
+            return None
+        others.remove(oldest)
+    return (*others, received)
+
+
+def combine(
+    before: observations.Observation | None,
+    finding: observations.Finding,
+    *,
+    host: str,
+    incarnation: int,
+    number: int,
+    now: float,
+) -> observations.Observation:
+    """Returns the observation of this host after a finding.
+
+    Args:
+      before: This host's observation on the same occasion; None for none.
+      finding: What was learnt.
+      host: Name of this host.
+      incarnation: Milliseconds since 1970 at the start of this process.
+      number: Number of the new observation.
+      now: Monotonic time in seconds.
+    """
+    kind = KINDS.find(finding.kind)
+    lifetime_s = kind.lifetime_s
+    if finding.lifetime_s is not None:
+        lifetime_s = min(lifetime_s, finding.lifetime_s)
+    services = before.services if before else ()
+    if finding.service and finding.service not in services:
+        services = (*services, finding.service)[-MAX_SERVICES:]
+    return observations.Observation(
+        kind=finding.kind,
+        subject=finding.subject,
+        host=host,
+        incarnation=incarnation,
+        number=number,
+        occasion=finding.occasion,
+        born_ms=finding.born_ms,
+        services=services,
+        value=kind.merge(before.value if before else 0.0, finding.value),
+        observed_at=now,
+        ends_at=now + lifetime_s,
+    )
+
+
+def set_times(
+    received: observations.ReceivedObservation, now: float
+) -> observations.Observation:
+    """Returns a received observation with times of this host.
+
+    It holds for no longer than its kind allows, whatever the sender says.
+
+    Raises:
+      UnknownNameError: The kind is not registered.
+    """
+    kind = KINDS.find(received.observation.kind)
+    remaining_s = min(received.remaining_s, kind.lifetime_s)
+    return received.observation.replace(
+        observed_at=now - received.age_s, ends_at=now + remaining_s
+    )
+
+
+def _is_same(
+    first: observations.Observation, second: observations.Observation
+) -> bool:
+    return first.host == second.host and first.occasion == second.occasion
+
+
+def _compute_version(
+    observation: observations.Observation,
+) -> tuple[int, int]:
+    return observation.incarnation, observation.number
--- a/src/bramleyfork/entry/sections.py
+++ b/src/bramleyfork/entry/sections.py
@@ -12,6 +12,11 @@
     ("replies", sections.LOG, "target_connections"),
     ("responses", sections.LOG, "exchanges"),
     ("target_faults", sections.LOG, "exchanges"),
+    # What hosts have learnt from the answers of targets.
+    ("request_findings", sections.LOG, "exchanges"),
+    ("observations", sections.TABLE, "observations"),
+    ("observation_sends", sections.LOG, "observations"),
+    ("peer_observations", sections.LOG, "peers"),
     # Attempts that another host, a carrier, makes for this one.
     ("via_sends", sections.LOG, "exchanges"),
     ("via_replies", sections.LOG, "carriers_transport"),
--- a/src/bramleyfork/entry/transports/peers.py
+++ b/src/bramleyfork/entry/transports/peers.py
@@ -12,11 +12,15 @@
 
 from bramleyfork.entry import components
 from bramleyfork.entry import fleet
+from bramleyfork.entry import observations
+from bramleyfork.entry.transports import _observation_rows
 
 _LOG = logging.getLogger(__name__)
 
 _PROTOCOL_VERSION = 1
 _KINDS = ("ping", "join", "ack")
+# Kind of the datagrams with observations. Hosts of earlier releases drop them.
+_OBSERVATIONS = "observations"
 _FIELDS = (
     ("host", str),
     ("incarnation", int),
@@ -30,8 +34,7 @@
 )
 
 
-class DatagramError(ValueError):
-    """Raised for a datagram that is not a valid message."""
+DatagramError = _observation_rows.DatagramError
 
 
 def encode_message(message: fleet.PeerMessage) -> bytes:
@@ -56,6 +59,44 @@
       DatagramError: The datagram is not valid msgpack, has another protocol
         version, or has a field with a wrong type or value.
     """
+    return _decode_fields(_unpack(data), address)
+
+
+def encode_observations(
+    batch: tuple[observations.Observation, ...], now: float
+) -> bytes:
+    """Encodes observations as one datagram.
+
+    Args:
+      batch: The observations.
+      now: Monotonic time in seconds, from which their ages are computed.
+    """
+    return msgpack.packb(
+        [
+            _PROTOCOL_VERSION,
+            _OBSERVATIONS,
+            0,
+            _observation_rows.encode_rows(batch, now),
+        ]
+    )
+
+
+def decode_observations(
+    data: bytes,
+) -> list[observations.ReceivedObservation]:
+    """Decodes the observations of a datagram.
+
+    Raises:
+      DatagramError: The datagram doesn't hold valid observations.
+    """
+    fields = _unpack(data)
+    if fields[1] != _OBSERVATIONS:
+        raise DatagramError(f"kind {fields[1]!r} is not {_OBSERVATIONS!r}")
+    return _observation_rows.decode_rows(fields[3])
+
+
+def _unpack(data: bytes) -> tuple:
+    """Returns the fields of a datagram: protocol, kind, sequence and rows."""
     try:
         fields = msgpack.unpackb(data, use_list=False)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
@@ -64,12 +105,16 @@
         ) from error
     if not isinstance(fields, tuple) or len(fields) != 4:
         raise DatagramError("message must be an array of 4 fields")
-    protocol, kind, sequence, rows = fields
-    if protocol != _PROTOCOL_VERSION:
+    if fields[0] != _PROTOCOL_VERSION:
         raise DatagramError(
-            f"protocol version {protocol!r} is invalid;"
+            f"protocol version {fields[0]!r} is invalid;"
             f" valid: {_PROTOCOL_VERSION}"
         )
+    return fields
+
+
+def _decode_fields(fields: tuple, address: fleet.Address) -> fleet.PeerMessage:
+    _, kind, sequence, rows = fields
     if kind not in _KINDS:
         raise DatagramError(f"message kind {kind!r} is not one of {_KINDS}")
     if not isinstance(sequence, int):
@@ -119,11 +164,11 @@
 @components.register(
     components.TRANSPORTS,
     "peers",
-    reads=("peer_sends",),
-    writes=("peer_messages",),
+    reads=("peer_sends", "observation_sends"),
+    writes=("peer_messages", "peer_observations"),
 )
 class PeerTransport(components.Component):
-    """Sends and receives pings, joins and acks."""
+    """Sends and receives pings, joins, acks and observations."""
 
     __slots__ = ("_datagram_socket",)
 
@@ -145,15 +190,21 @@
             self._datagram_socket.close()
 
     def step(self, now: float) -> float | None:
-        """Sends the messages in ``peer_sends``."""
-        del now
+        """Sends the messages in ``peer_sends`` and ``observation_sends``."""
         for send in self.read_new_records("peer_sends"):
-            if self._datagram_socket is not None:
-                self._datagram_socket.sendto(encode_message(send), send.address)
+            self._send(encode_message(send), send.address)
+        for send in self.read_new_records("observation_sends"):
+            self._send(
+                encode_observations(send.observations, now), send.address
+            )
         return None
 
+    def _send(self, data: bytes, address: fleet.Address) -> None:
+        if self._datagram_socket is not None:
+            self._datagram_socket.sendto(data, address)
+
     def receive(self, data: bytes, address: fleet.Address) -> None:
-        """Writes the message of a datagram to ``peer_messages``.
+        """Writes the content of a datagram to the section for its kind.
 
         A datagram that is not a valid message is counted and dropped.
 
@@ -162,7 +213,13 @@
           address: Address of the sender.
         """
         try:
-            message = decode_message(data, address)
+            fields = _unpack(data)
+            if fields[1] == _OBSERVATIONS:
+                self.get_writer("peer_observations").extend(
+                    _observation_rows.decode_rows(fields[3])
+                )
+                return
+            message = _decode_fields(fields, address)
         except DatagramError as error:
             self.context.metrics.count("peer_datagrams_unreadable")
             _LOG.warning(
