Quarantine requests that crash the targets that run them

Cause: an entry host kept nothing about a request after its answer and a new id made each repeat a new request; the daemon's fingerprints and canaries had no counterpart in entry/. Class: a decision per attempt where the bound is over attempts, callers and hosts.

Change: a request that was in flight when its target ended is a suspect on all hosts. It is tried at one target at a time, at a gather at one shard; an answer clears it, three ends of which one came in a trial refuse it with 503 and Retry-After. From the third end on one host tries it, the same one in all views that know the first crashes. One pure function rules on first attempts, hedges, retries, gathers and carried calls. A host that hears from no other makes no trial.

--- a/src/bramleyfork/entry/controllers/_dispatcher.py
+++ b/src/bramleyfork/entry/controllers/_dispatcher.py
@@ -14,6 +14,7 @@
 from bramleyfork.entry import metrics
 from bramleyfork.entry.controllers import _carrier_selector
 from bramleyfork.entry.controllers import _exchange
+from bramleyfork.entry.controllers import _quarantine
 from bramleyfork.entry.controllers import _target_selector
 from bramleyfork.entry.decisions import hedges
 
@@ -74,6 +75,7 @@
     Args:
       target_selector: Ranks targets and keeps retry budgets.
       carriers: Chooses carriers for attempts in other data centres.
+      request_quarantine: Rules on requests that may crash targets.
       writers: Writers of the sections "sends", "via_sends", "aborts" and
         "target_faults".
       counters: Metrics of the process.
@@ -86,6 +88,7 @@
       timers: Timers of the requests in flight.
       target_selector: Ranks targets and keeps retry budgets.
       carriers: Chooses carriers for attempts in other data centres.
+      quarantine: Rules on requests that may crash targets.
     """
 
     __slots__ = (
@@ -95,6 +98,7 @@
         "timers",
         "target_selector",
         "carriers",
+        "quarantine",
         "_writers",
         "_metrics",
         "_random",
@@ -106,6 +110,7 @@
         *,
         target_selector: _target_selector.TargetSelector,
         carriers: _carrier_selector.CarrierSelector,
+        request_quarantine: _quarantine.Quarantine,
         writers: dict[str, typing.Any],
         counters: metrics.Metrics,
         rng: random.Random,
@@ -116,6 +121,7 @@
         self.timers = Timers()
         self.target_selector = target_selector
         self.carriers = carriers
+        self.quarantine = request_quarantine
         self._writers = writers
         self._metrics = counters
         self._random = rng
@@ -137,6 +143,10 @@
                 shard.fault = "no_target"
                 self.schedule_retry(exchange, shard)
                 continue
+            if not self.quarantine.may_send(exchange, shard, target, self.now):
+                shard.fault = "held"
+                self.schedule_retry(exchange, shard)
+                continue
             data_centre = self.target_selector.find_remote_data_centre(target)
             chosen.append((shard, target, data_centre))
             by_data_centre[data_centre] = by_data_centre.get(data_centre, 0) + 1
@@ -174,10 +184,12 @@
     def send_first(
         self, exchange: _exchange.Exchange, shard: _exchange.Shard
     ) -> None:
-        """Makes the first attempt at a shard that had no usable target."""
+        """Makes the first attempt at a shard that could not be sent before."""
         target = self.target_selector.choose(exchange.route, shard, self.now)
-        if target is None:
-            shard.fault = "no_target"
+        if target is None or not self.quarantine.may_send(
+            exchange, shard, target, self.now
+        ):
+            shard.fault = "held" if target else "no_target"
             self.schedule_retry(exchange, shard)
             return
         self._send(exchange, shard, target)
@@ -204,6 +216,7 @@
         shard.delivered_attempts += 1
         shard.retry_at = None
         self.attempts[attempt.number] = attempt
+        self.quarantine.start_trial_if_suspect(attempt, self.now)
         self.target_selector.record_sent(attempt, self.now)
         self._schedule_hedge(exchange, shard, attempt)
         if carrier_address is not None:
@@ -272,7 +285,9 @@
         if shard.attempt_count >= _MAX_ATTEMPTS_PER_SHARD:
             return False
         target = self.target_selector.choose(exchange.route, shard, self.now)
-        if target is None:
+        if target is None or not self.quarantine.may_send(
+            exchange, shard, target, self.now
+        ):
             return False
         # Retries cost no budget until an attempt may have reached a target.
         if (
@@ -309,6 +324,7 @@
         """Aborts a shard's attempts in flight, whose replies aren't needed."""
         for attempt in shard.attempts:
             self.attempts.pop(attempt.number, None)
+            self.quarantine.record_end(attempt)
             shard.verdicts.append(verdicts.Verdict.MAY_HAVE_RUN)
             self.avoid_silent_carrier(attempt)
             fault = self.target_selector.record_aborted(attempt, self.now)
--- a/src/bramleyfork/entry/controllers/_exchange.py
+++ b/src/bramleyfork/entry/controllers/_exchange.py
@@ -3,6 +3,10 @@
 from bramleyfork.core import verdicts
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
+from bramleyfork.entry.decisions import fingerprints
+
+# Request ids of callers may be long, and hosts tell each other of them.
+_MAX_OCCASION_CHARS = 64
 
 
 class Attempt:
@@ -16,6 +20,7 @@
       exchange: The request that the attempt belongs to.
       carrier_address: Address of the carrier; None if this host sends it to the
         target.
+      is_trial: Whether it shows if its request crashes targets.
     """
 
     __slots__ = (
@@ -25,6 +30,7 @@
         "sent_at",
         "exchange",
         "carrier_address",
+        "is_trial",
     )
 
     def __init__(
@@ -43,6 +49,7 @@
         self.sent_at = sent_at
         self.exchange = exchange
         self.carrier_address = carrier_address
+        self.is_trial = False
 
 
 class Shard:
@@ -123,6 +130,9 @@
       merged_bodies: Body of each reply of a carrier, which holds the merged
         records of several shards.
       is_done: Whether the request was answered or its caller disconnected.
+      fingerprint: Fingerprint of the request; empty until it is needed.
+      trials: Numbers of the trials in flight.
+      crashes: Number of targets that ended while they ran the request.
     """
 
     __slots__ = (
@@ -144,6 +154,9 @@
         "shards_by_carrier_attempt",
         "merged_bodies",
         "is_done",
+        "fingerprint",
+        "trials",
+        "crashes",
     )
 
     def __init__(
@@ -177,6 +190,19 @@
         self.shards_by_carrier_attempt: dict[int, Shard] = {}
         self.merged_bodies: list[bytes] = []
         self.is_done = False
+        self.fingerprint = ""
+        self.trials: set[int] = set()
+        self.crashes = 0
+
+    def find_fingerprint(self) -> str:
+        """Returns the fingerprint of the request."""
+        if not self.fingerprint:
+            self.fingerprint = fingerprints.compute_fingerprint(self.request)
+        return self.fingerprint
+
+    def find_occasion(self) -> str:
+        """Returns the text that tells its crashes from those of others."""
+        return self.request.request_id.decode("latin-1")[:_MAX_OCCASION_CHARS]
 
     def set_reply(self, shard: Shard, reply: exchanges.Reply) -> None:
         """Stores the successful reply of a shard."""
--- a/src/bramleyfork/entry/controllers/_outcomes.py
+++ b/src/bramleyfork/entry/controllers/_outcomes.py
@@ -11,7 +11,7 @@
 
 # Faults of attempts that reached no target, if the verdict is NOT_RUN.
 _UNDELIVERED_FAULTS = frozenset(
-    ("connect", "no_room", "expired", "not_usable", "carrier")
+    ("connect", "no_room", "expired", "not_usable", "carrier", "quarantined")
 )
 
 
--- /dev/null
+++ b/src/bramleyfork/entry/controllers/_quarantine.py
@@ -0,0 +1,259 @@
+"""Finds out whether a request may be sent, and records how its sends end."""
+
+import typing
+
+from bramleyfork.core import blackboard
+from bramleyfork.core import verdicts
+from bramleyfork.entry import declarations
+from bramleyfork.entry import exchanges
+from bramleyfork.entry import fleet
+from bramleyfork.entry import observations
+from bramleyfork.entry import settings as settings_module
+from bramleyfork.entry.controllers import _exchange
+from bramleyfork.entry.decisions import observations as kinds
+from bramleyfork.entry.decisions import quarantine
+
+_KINDS = (kinds.CRASH, kinds.TRIAL_CRASH, kinds.COMPLETION)
+
+
+class EvidenceReader:
+    """Reads what hosts have observed of a request.
+
+    Args:
+      settings: Settings of the process.
+      known: Observations by kind and subject.
+      members: Entry hosts by name.
+    """
+
+    __slots__ = ("_settings", "_known", "_members")
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.Settings,
+        known: blackboard.Table,
+        members: blackboard.Table,
+    ):
+        self._settings = settings
+        self._known = known
+        self._members = members
+
+    def is_empty(self) -> bool:
+        """Returns whether nothing is known of any request."""
+        return not len(self._known)
+
+    def read(self, fingerprint: str, now: float) -> quarantine.Evidence:
+        """Returns what holds at a monotonic time, in seconds."""
+        crashes, trial_crashes, completions = (
+            kinds.select_in_force(self._known.get((kind, fingerprint)), now)
+            for kind in _KINDS
+        )
+        return quarantine.Evidence(
+            crashes=crashes,
+            trial_crashes=trial_crashes,
+            completions=completions,
+        )
+
+    def judge(self, fingerprint: str, now: float) -> quarantine.Ruling:
+        """Returns whether this host may send a request.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          now: Monotonic time in seconds.
+        """
+        evidence = self.read(fingerprint, now)
+        if not evidence.crashes and not evidence.trial_crashes:
+            return quarantine.Ruling.FREE
+        others = [
+            member
+            for host, member in self._members.copy_records().items()
+            if host != self._settings.host
+        ]
+        live = [m for m in others if m.update.state == fleet.SERVING]
+        has_seeds = any(
+            seed != self._settings.peer_address for seed in self._settings.seeds
+        )
+        return quarantine.judge(
+            evidence,
+            fingerprint,
+            host=self._settings.host,
+            live_hosts=[self._settings.host, *(m.update.host for m in live)],
+            is_isolated=not live and (bool(others) or has_seeds),
+            now=now,
+        )
+
+    def is_published(self, exchange: _exchange.Exchange, now: float) -> bool:
+        """Returns whether all crashes of a request are on the blackboard."""
+        evidence = self.read(exchange.find_fingerprint(), now)
+        occasion = exchange.find_occasion()
+        published = sum(
+            crash.value
+            for crash in (*evidence.crashes, *evidence.trial_crashes)
+            if crash.host == self._settings.host and crash.occasion == occasion
+        )
+        return published >= exchange.crashes
+
+
+class Quarantine:
+    """Rules on the requests of this host's callers.
+
+    Args:
+      reader: Reads what hosts have observed.
+      writer: Writer of the section "request_findings".
+    """
+
+    __slots__ = ("_reader", "_writer", "_trials", "_targets_on_trial")
+
+    def __init__(self, *, reader: EvidenceReader, writer: typing.Any):
+        self._reader = reader
+        self._writer = writer
+        # Key of the request that is being tried, by fingerprint.
+        self._trials: dict[str, int] = {}
+        # Number of the trial in flight, by target.
+        self._targets_on_trial: dict[str, int] = {}
+
+    def find_ruling(
+        self, exchange: _exchange.Exchange, now: float
+    ) -> quarantine.Ruling:
+        """Returns whether a request may be sent to targets."""
+        if self._reader.is_empty() and not exchange.crashes:
+            return quarantine.Ruling.FREE
+        # The controller "observations" publishes them in its next step.
+        if exchange.crashes and not self._reader.is_published(exchange, now):
+            return quarantine.Ruling.HELD
+        fingerprint = exchange.find_fingerprint()
+        ruling = self._reader.judge(fingerprint, now)
+        tried_by = self._trials.get(fingerprint, exchange.request.key)
+        if (
+            ruling is quarantine.Ruling.TRIAL
+            and tried_by != exchange.request.key
+        ):
+            return quarantine.Ruling.HELD
+        return ruling
+
+    def may_send(
+        self,
+        exchange: _exchange.Exchange,
+        shard: _exchange.Shard,
+        target: declarations.ListedTarget,
+        now: float,
+    ) -> bool:
+        """Returns whether a shard may be sent to a target.
+
+        A suspect is tried at one shard at a time, and at a target that runs no
+        other trial, so that an end shows which request caused it.
+        """
+        ruling = self.find_ruling(exchange, now)
+        if ruling is not quarantine.Ruling.TRIAL:
+            return ruling is quarantine.Ruling.FREE
+        if exchange.trials:
+            return any(attempt.is_trial for attempt in shard.attempts)
+        if target.target in self._targets_on_trial:
+            return False
+        return shard.service == self._choose_trial_service(exchange, now)
+
+    def _choose_trial_service(
+        self, exchange: _exchange.Exchange, now: float
+    ) -> str:
+        """Returns the service at which a suspect is tried first.
+
+        Requests that were in flight together are spread over the services, so
+        that one which crashes targets doesn't incriminate the others.
+        """
+        evidence = self._reader.read(exchange.find_fingerprint(), now)
+        suspects = quarantine.list_suspect_services(evidence)
+        pending = [
+            shard.service for shard in exchange.shards if shard.is_pending()
+        ]
+        found = [s for s in pending if s in suspects] or pending
+        return found[int(exchange.fingerprint, 16) % len(found)]
+
+    def is_refused(self, exchange: _exchange.Exchange, now: float) -> bool:
+        """Returns whether a request may never be sent again."""
+        return self.find_ruling(exchange, now) is quarantine.Ruling.REFUSED
+
+    def find_retry_delay(
+        self, exchange: _exchange.Exchange, now: float
+    ) -> float:
+        """Returns the seconds until a refused request may be sent again."""
+        evidence = self._reader.read(exchange.find_fingerprint(), now)
+        return max(0.0, quarantine.find_refusal_end(evidence) - now)
+
+    def start_trial_if_suspect(
+        self, attempt: _exchange.Attempt, now: float
+    ) -> None:
+        """Marks an attempt as a trial if its request is a suspect."""
+        ruling = self.find_ruling(attempt.exchange, now)
+        if ruling is not quarantine.Ruling.TRIAL:
+            return
+        exchange = attempt.exchange
+        attempt.is_trial = True
+        exchange.trials.add(attempt.number)
+        self._targets_on_trial[attempt.target.target] = attempt.number
+        self._trials[exchange.find_fingerprint()] = exchange.request.key
+
+    def record_end(self, attempt: _exchange.Attempt) -> None:
+        """Records that an attempt isn't in flight any more."""
+        if not attempt.is_trial:
+            return
+        exchange = attempt.exchange
+        exchange.trials.discard(attempt.number)
+        target = attempt.target.target
+        if self._targets_on_trial.get(target) == attempt.number:
+            del self._targets_on_trial[target]
+        if not exchange.trials:
+            self._trials.pop(exchange.find_fingerprint(), None)
+
+    def record_reply(
+        self, attempt: _exchange.Attempt, reply: exchanges.Reply, now: float
+    ) -> None:
+        """Records how an attempt ended.
+
+        An answer of any status shows that the target survived the request. A
+        trial whose connection was lost counts as a crash even if the target
+        was up again when it was checked.
+        """
+        self.record_end(attempt)
+        if reply.fault == "ended" or (
+            reply.fault == "lost" and attempt.is_trial
+        ):
+            self._record_crash(attempt)
+        elif not reply.fault and reply.verdict is verdicts.Verdict.RAN:
+            self.record_completion(attempt, now)
+
+    def record_completion(self, attempt: _exchange.Attempt, now: float) -> None:
+        """Records that a target has answered an attempt."""
+        exchange = attempt.exchange
+        if self._reader.is_empty() and not exchange.crashes:
+            return
+        fingerprint = exchange.find_fingerprint()
+        evidence = self._reader.read(fingerprint, now)
+        is_suspect = evidence.crashes or evidence.trial_crashes
+        if not exchange.crashes and not is_suspect:
+            return
+        service = attempt.shard.service
+        if not quarantine.is_worth_telling(
+            evidence, service, is_trial=attempt.is_trial
+        ):
+            return
+        self._writer.append(
+            observations.Finding(
+                kind=kinds.COMPLETION,
+                subject=fingerprint,
+                service=service,
+                value=float(attempt.is_trial),
+            )
+        )
+
+    def _record_crash(self, attempt: _exchange.Attempt) -> None:
+        exchange = attempt.exchange
+        exchange.crashes += 1
+        self._writer.append(
+            observations.Finding(
+                kind=kinds.TRIAL_CRASH if attempt.is_trial else kinds.CRASH,
+                subject=exchange.find_fingerprint(),
+                occasion=exchange.find_occasion(),
+                service=attempt.shard.service,
+                value=1.0,
+            )
+        )
--- a/src/bramleyfork/entry/controllers/_refusals.py
+++ b/src/bramleyfork/entry/controllers/_refusals.py
@@ -54,6 +54,8 @@
         route: declarations.Route | None = None,
         without_target: collections.abc.Sequence[str] = (),
         overload: _admission.OverloadReport | None = None,
+        fingerprint: str = "",
+        retry_after_s: float | None = None,
         verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
     ) -> None:
         """Responds to a request with an error status.
@@ -66,10 +68,14 @@
           route: The route of the request; None if none was found.
           without_target: Services that have no usable target.
           overload: Load estimates, if the request is refused for overload.
+          fingerprint: Fingerprint of the request, if it is why it is refused.
+          retry_after_s: Seconds after which the caller should retry; None to
+            derive them from the reason.
           verdict: Whether the request may have run.
         """
         feed = self._feed_state.get("current")
-        retry_after_s = choose_retry_after(reason, feed)
+        if retry_after_s is None:
+            retry_after_s = choose_retry_after(reason, feed)
         if overload is not None:
             retry_after_s = overload.retry_after_s
         self._writer.append(
@@ -88,6 +94,8 @@
             "without_target": without_target,
             "verdict": verdict.value,
         }
+        if fingerprint:
+            fields["fingerprint"] = fingerprint
         if overload is not None:
             fields |= overload.build_log_fields()
         _LOG.info("request refused", extra=fields | _describe_feed(feed, now))
--- a/src/bramleyfork/entry/controllers/_target_selector.py
+++ b/src/bramleyfork/entry/controllers/_target_selector.py
@@ -23,6 +23,7 @@
 # the status of a failure reply as a fault.
 _REPORTED_FAULTS = {
     "connect": "connect",
+    "ended": "connect",
     "oversized": "oversized",
     "status_421": "misdirected",
 }
--- a/src/bramleyfork/entry/controllers/carriers.py
+++ b/src/bramleyfork/entry/controllers/carriers.py
@@ -13,7 +13,10 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import _connection_limits
+from bramleyfork.entry.controllers import _quarantine
+from bramleyfork.entry.decisions import fingerprints
 from bramleyfork.entry.decisions import gathers
+from bramleyfork.entry.decisions import quarantine
 
 _LOG = logging.getLogger("bramleyfork.decisions")
 
@@ -56,7 +59,13 @@
     components.CONTROLLERS,
     "carriers",
     reads=("carried_arrivals", "replies"),
-    passive_reads=("usable", "listed_targets", "members", "route_table"),
+    passive_reads=(
+        "usable",
+        "listed_targets",
+        "members",
+        "route_table",
+        "observations",
+    ),
     writes=("carried_sends", "carried_aborts", "carried_departures"),
 )
 class Carriers(components.Component):
@@ -68,6 +77,7 @@
         "_numbers",
         "_timers",
         "_limits",
+        "_evidence",
         "_now",
     )
 
@@ -84,6 +94,11 @@
             members=self.get_table("members"),
             routes=self.get_table("route_table"),
         )
+        self._evidence = _quarantine.EvidenceReader(
+            settings=self.context.settings,
+            known=self.get_table("observations"),
+            members=self.get_table("members"),
+        )
         self._now = 0.0
 
     def step(self, now: float) -> float | None:
@@ -118,11 +133,13 @@
         call = _Call(stream=stream, record=record)
         key = (stream, record.number)
         self._calls[key] = call
+        is_free = self._is_free(record.request)
         for attempt, name in record.attempts:
-            target = self._find_target(name)
+            target = self._find_target(name) if is_free else None
             if target is None:
+                fault = "not_usable" if is_free else "quarantined"
                 call.failures.append(
-                    (attempt, "not_usable", verdicts.Verdict.NOT_RUN.value)
+                    (attempt, fault, verdicts.Verdict.NOT_RUN.value)
                 )
                 continue
             number = next(self._numbers)
@@ -143,6 +160,17 @@
         if call.failures:
             self._flush(call)
 
+    def _is_free(self, request: exchanges.CallerRequest) -> bool:
+        """Returns whether a request may be sent to several targets at once.
+
+        A suspect is tried by the host that received it.
+        """
+        if self._evidence.is_empty():
+            return True
+        fingerprint = fingerprints.compute_fingerprint(request)
+        ruling = self._evidence.judge(fingerprint, self._now)
+        return ruling is quarantine.Ruling.FREE
+
     def _find_target(self, name: str):
         """Returns the target of a name if this host may use it, or None."""
         listed = self.get_table("listed_targets").get(name)
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -18,11 +18,12 @@
 from bramleyfork.entry.controllers import _exchange
 from bramleyfork.entry.controllers import _exchange_builder
 from bramleyfork.entry.controllers import _outcomes
+from bramleyfork.entry.controllers import _quarantine
 from bramleyfork.entry.controllers import _refusals
 from bramleyfork.entry.controllers import _target_selector
-from bramleyfork.entry.decisions import fingerprints
 from bramleyfork.entry.decisions import gathers
 from bramleyfork.entry.decisions import matching
+from bramleyfork.entry.decisions import quarantine
 from bramleyfork.entry.decisions import switching
 
 _LOG = logging.getLogger("bramleyfork.decisions")
@@ -57,8 +58,16 @@
         "members",
         "listed_targets",
         "feed_state",
+        "observations",
+    ),
+    writes=(
+        "sends",
+        "via_sends",
+        "aborts",
+        "responses",
+        "target_faults",
+        "request_findings",
     ),
-    writes=("sends", "via_sends", "aborts", "responses", "target_faults"),
 )
 class Exchanges(components.Component):
     """Routes requests, sends attempts, merges replies and writes responses."""
@@ -93,6 +102,14 @@
             carriers=_carrier_selector.CarrierSelector(
                 members=self.get_table("members")
             ),
+            request_quarantine=_quarantine.Quarantine(
+                reader=_quarantine.EvidenceReader(
+                    settings=self.context.settings,
+                    known=self.get_table("observations"),
+                    members=self.get_table("members"),
+                ),
+                writer=self.get_writer("request_findings"),
+            ),
             writers={
                 name: self.get_writer(name) for name in _DISPATCHER_SECTIONS
             },
@@ -204,6 +221,8 @@
         if exchange.deadline_at <= self._now:
             self._refuse(request, "deadline_past", 504, route=route)
             return
+        if self._refuse_quarantined(exchange):
+            return
         self._admission.record_arrival(exchange, self._now)
         overload = self._admission.check_overload(exchange, self._now)
         if overload is not None:
@@ -213,6 +232,31 @@
             return
         self._send(exchange)
 
+    def _refuse_quarantined(self, exchange: _exchange.Exchange) -> bool:
+        """Refuses a request that crashes targets, or may while it is tried."""
+        found = self._dispatcher.quarantine
+        ruling = found.find_ruling(exchange, self._now)
+        if ruling is quarantine.Ruling.REFUSED:
+            self._refuse(
+                exchange.request,
+                "quarantined",
+                503,
+                route=exchange.route,
+                fingerprint=exchange.fingerprint,
+                retry_after_s=found.find_retry_delay(exchange, self._now),
+            )
+            return True
+        if ruling is quarantine.Ruling.HELD:
+            self._refuse(
+                exchange.request,
+                "held",
+                503,
+                route=exchange.route,
+                fingerprint=exchange.fingerprint,
+            )
+            return True
+        return False
+
     def _refuse(
         self,
         request: exchanges.CallerRequest,
@@ -252,6 +296,7 @@
             self._dispatcher.carriers.start_cooldown(
                 attempt.carrier_address, self._now
             )
+        self._dispatcher.quarantine.record_reply(attempt, reply, self._now)
         fault = self._dispatcher.target_selector.record_reply(
             attempt, reply, self._now
         )
@@ -299,6 +344,9 @@
             attempt = self._dispatcher.attempts.pop(number, None)
             if attempt is not None:
                 shard.attempts.remove(attempt)
+                self._dispatcher.quarantine.record_reply(
+                    attempt, reply, self._now
+                )
                 self._dispatcher.target_selector.record_reply(
                     attempt, reply, self._now
                 )
@@ -341,9 +389,7 @@
             "after_ms": round((self._now - attempt.sent_at) * 1000, 1),
         }
         if fault in _FAULTS_WITHOUT_REPLY:
-            fields["fingerprint"] = fingerprints.compute_fingerprint(
-                exchange.request
-            )
+            fields["fingerprint"] = exchange.find_fingerprint()
         _LOG.info("attempt failed", extra=fields)
 
     def _retry(
@@ -351,7 +397,9 @@
         exchange: _exchange.Exchange,
         shard: _exchange.Shard,
     ) -> None:
-        if not _dispatcher.may_retry(exchange.route, shard):
+        if not _dispatcher.may_retry(
+            exchange.route, shard
+        ) or self._dispatcher.quarantine.is_refused(exchange, self._now):
             exchange.give_up(shard)
             return
         exchange.retries += 1
@@ -393,7 +441,9 @@
             shard.retry_at = None
             if not shard.is_pending() or shard.attempts:
                 continue
-            if shard.attempt_count == 0:
+            if self._dispatcher.quarantine.is_refused(exchange, self._now):
+                exchange.give_up(shard)
+            elif shard.attempt_count == 0:
                 self._dispatcher.send_first(exchange, shard)
             elif not self._dispatcher.send_extra(exchange, shard):
                 self._dispatcher.schedule_retry(exchange, shard)
--- a/tests/entry/controllers/test_entry_carriers.py
+++ b/tests/entry/controllers/test_entry_carriers.py
@@ -3,8 +3,13 @@
 from bramleyfork.core import verdicts
 from bramleyfork.entry import carrier_records
 from bramleyfork.entry.controllers import carriers as controller
+from bramleyfork.entry.decisions import fingerprints
+from bramleyfork.entry.decisions import observations as observation_kinds
 from tests.entry import boards
 from tests.entry import creators
+from tests.entry.decisions import (
+    test_entry_observations as observation_creators,
+)
 
 STREAM = 4
 
@@ -159,3 +164,32 @@
 def test_a_failure_is_rebuilt_with_its_verdict(verdict):
     reply = carrier_records.build_failure(5, "status_500", verdict.value)
     assert reply.verdict is verdict
+
+
+def put_crash(harness, request):
+    fingerprint = fingerprints.compute_fingerprint(request)
+    harness.put(
+        "observations",
+        (observation_kinds.CRASH, fingerprint),
+        (
+            observation_creators.create_observation(
+                subject=fingerprint,
+                observed_at=harness.now,
+                ends_at=harness.now + 60.0,
+            ),
+        ),
+    )
+
+
+def test_a_suspect_is_not_sent_to_several_targets_at_once():
+    # Guards against a carrier that ends a target for each shard of a request.
+    harness = start()
+    request = creators.create_request(7)
+    put_crash(harness, request)
+    assert call(harness, request=request) == []
+    (result,) = read_results(harness)
+    assert {failure[1:] for failure in result.failures} == {
+        ("quarantined", "NOT_RUN")
+    }
+    other = creators.create_request(8, url=b"/find/other")
+    assert len(call(harness, number=2, request=other)) == 3
