Count a request whose connections were all lost as a crash

A target that ends and listens again at once shows only as lost connections: the check finds it up, and a repeated request was never a suspect. A request that ends without an answer and with a lost connection now counts as one crash, and a lost connection of a trial does.

--- a/src/bramleyfork/entry/controllers/_exchange.py
+++ b/src/bramleyfork/entry/controllers/_exchange.py
@@ -133,6 +133,9 @@
       fingerprint: Fingerprint of the request; empty until it is needed.
       trials: Numbers of the trials in flight.
       crashes: Number of targets that ended while they ran the request.
+      losses: Number of attempts whose connection was lost without a byte of a
+        reply, although the target had not ended.
+      is_answered: Whether a target has answered an attempt, with any status.
     """
 
     __slots__ = (
@@ -157,6 +160,8 @@
         "fingerprint",
         "trials",
         "crashes",
+        "losses",
+        "is_answered",
     )
 
     def __init__(
@@ -193,6 +198,8 @@
         self.fingerprint = ""
         self.trials: set[int] = set()
         self.crashes = 0
+        self.losses = 0
+        self.is_answered = False
 
     def find_fingerprint(self) -> str:
         """Returns the fingerprint of the request."""
--- a/src/bramleyfork/entry/controllers/_quarantine.py
+++ b/src/bramleyfork/entry/controllers/_quarantine.py
@@ -218,9 +218,24 @@
             reply.fault == "lost" and attempt.is_trial
         ):
             self._record_crash(attempt)
+        elif reply.fault == "lost":
+            attempt.exchange.losses += 1
         elif not reply.fault and reply.verdict is verdicts.Verdict.RAN:
+            attempt.exchange.is_answered = True
             self.record_completion(attempt, now)
 
+    def record_failure(self, exchange: _exchange.Exchange) -> None:
+        """Records that a request ended without an answer.
+
+        If its connections were lost, its targets may have ended and started
+        again at once. It counts as one crash then.
+        """
+        if exchange.is_answered or exchange.crashes or not exchange.losses:
+            return
+        self._write_crash(
+            exchange, exchange.shards[0].service, kind=kinds.CRASH
+        )
+
     def record_completion(self, attempt: _exchange.Attempt, now: float) -> None:
         """Records that a target has answered an attempt."""
         exchange = attempt.exchange
@@ -246,14 +261,22 @@
         )
 
     def _record_crash(self, attempt: _exchange.Attempt) -> None:
-        exchange = attempt.exchange
-        exchange.crashes += 1
+        attempt.exchange.crashes += 1
+        self._write_crash(
+            attempt.exchange,
+            attempt.shard.service,
+            kind=kinds.TRIAL_CRASH if attempt.is_trial else kinds.CRASH,
+        )
+
+    def _write_crash(
+        self, exchange: _exchange.Exchange, service: str, *, kind: str
+    ) -> None:
         self._writer.append(
             observations.Finding(
-                kind=kinds.TRIAL_CRASH if attempt.is_trial else kinds.CRASH,
+                kind=kind,
                 subject=exchange.find_fingerprint(),
                 occasion=exchange.find_occasion(),
-                service=attempt.shard.service,
+                service=service,
                 value=1.0,
             )
         )
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -515,6 +515,7 @@
 
     def _close(self, exchange: _exchange.Exchange) -> None:
         del self._in_flight[exchange.request.key]
+        self._dispatcher.quarantine.record_failure(exchange)
         self._admission.record_completion(exchange)
         for shard in exchange.shards:
             self._dispatcher.abort_attempts(shard)
--- a/tests/entry/fleets.py
+++ b/tests/entry/fleets.py
@@ -113,6 +113,7 @@
       seed: Seed of latencies and losses.
       loss: Fraction of datagrams that are lost, 0 to 1.
       crashing_path: A target that begins a request for this path ends.
+      is_up_at_once: Whether targets that end are up again at once.
 
     Attributes:
       now: Current time.
@@ -131,6 +132,7 @@
         seed=1,
         loss=0.0,
         crashing_path="/find/crash",
+        is_up_at_once=False,
     ):
         self.now = 100.0
         self.arrivals = []
@@ -141,6 +143,7 @@
         self._route = route
         self._loss = loss
         self._crashing_path = crashing_path
+        self._is_up_at_once = is_up_at_once
         self._events = []
         self._order = itertools.count()
         self._keys = itertools.count(1)
@@ -184,10 +187,12 @@
         """Ends a target; everything that it runs is lost."""
         target = self.targets[name]
         self.ends.append(self.now)
-        target.up_at = self.now + _TARGET_DOWN_S
+        fault = "lost" if self._is_up_at_once else "ended"
+        if not self._is_up_at_once:
+            target.up_at = self.now + _TARGET_DOWN_S
         for (host, attempt), _ in list(target.running.items()):
             self._answer_later(
-                host, attempt, _CRASH_S, _build_fault(attempt, "ended")
+                host, attempt, _CRASH_S, _build_fault(attempt, fault)
             )
         target.running.clear()
 
--- a/tests/entry/test_entry_crashing_requests.py
+++ b/tests/entry/test_entry_crashing_requests.py
@@ -11,6 +11,7 @@
 ROUTES = {
     "single": creators.create_route(),
     "gather": creators.create_gather(4),
+    "one attempt": creators.create_route(attempts=1),
     "not idempotent": creators.create_route(idempotent=False),
 }
 
@@ -51,6 +52,16 @@
     assert compute_served(fleet) > 0.9
 
 
+@pytest.mark.parametrize("route", ROUTES)
+@pytest.mark.parametrize("hosts", [1, 3])
+def test_targets_that_start_again_at_once_are_protected_too(route, hosts):
+    # Guards against ends that look like lost replies.
+    fleet = fleets.Fleet(route=ROUTES[route], hosts=hosts, is_up_at_once=True)
+    play(fleet)
+    assert fleet.count_late_arrivals() <= ALLOWED_REPEATS
+    assert compute_served(fleet) > 0.9
+
+
 @pytest.mark.parametrize("route", ROUTES)
 @pytest.mark.parametrize("seed", range(5))
 def test_hosts_that_miss_datagrams_keep_the_bound(route, seed):
