Read the limits that targets name

A limit in an answer was not read, so no log could tell whether hosts knew it. The transport now reads what a target says in the head of its answers (decisions/answers.py, one reader a header, registered by decorators) and writes it as a finding; the limit becomes an observation of all hosts and ends with the first answer that doesn't name it. Nothing is decided by it yet.

--- a/src/bramleyfork/entry/controllers/observations.py
+++ b/src/bramleyfork/entry/controllers/observations.py
@@ -17,7 +17,7 @@
 @components.register(
     components.CONTROLLERS,
     "observations",
-    reads=("request_findings", "peer_observations"),
+    reads=("request_findings", "target_findings", "peer_observations"),
     passive_reads=("members",),
     writes=("observations", "observation_sends"),
 )
@@ -51,8 +51,9 @@
     def step(self, now: float) -> float | None:
         """Stores new observations, sends them, and drops those that ended."""
         self._now = now
-        for finding in self.read_new_records("request_findings"):
-            self._handle_finding(finding)
+        for section in ("request_findings", "target_findings"):
+            for finding in self.read_new_records(section):
+                self._handle_finding(finding)
         for received in self.read_new_records("peer_observations"):
             self._handle_received(received)
         if self._rounds_left and self._next_round_at is None:
--- a/src/bramleyfork/entry/decisions/observations.py
+++ b/src/bramleyfork/entry/decisions/observations.py
@@ -28,6 +28,10 @@
 CRASH = "crash"
 TRIAL_CRASH = "trial_crash"
 COMPLETION = "completion"
+RATE_LIMIT = "rate_limit"
+
+# Value of a rate limit that has ended, in requests per second.
+NO_LIMIT = 1e9
 
 
 class Kind:
@@ -90,6 +94,14 @@
     return max(before, added)
 
 
+# A target names its limit in each answer; without answers it is forgotten.
+@register_kind(RATE_LIMIT, lifetime_s=30.0)
+def keep_last(before: float, added: float) -> float:
+    """Keeps what the target said last."""
+    del before
+    return added
+
+
 def get_key(observation: observations.Observation) -> Key:
     """Returns the key under which a host keeps an observation."""
     return observation.kind, observation.subject
@@ -105,6 +117,23 @@
     return tuple(o for o in known or () if o.ends_at > now)
 
 
+def find_latest(
+    known: Known | None, born_ms: int, now: float
+) -> observations.Observation | None:
+    """Returns the latest observation of one process of a target, or None.
+
+    Args:
+      known: Observations of one kind and target; None for none.
+      born_ms: Start of the target's process in milliseconds since 1970.
+      now: Monotonic time in seconds.
+    """
+    return max(
+        (o for o in select_in_force(known, now) if o.born_ms == born_ms),
+        key=lambda o: (o.observed_at, o.host),
+        default=None,
+    )
+
+
 def merge(known: Known, received: observations.Observation) -> Known | None:
     """Returns the observations with a new one, or None if nothing changes.
 
--- a/src/bramleyfork/entry/http_headers.py
+++ b/src/bramleyfork/entry/http_headers.py
@@ -30,6 +30,7 @@
       warmup_ms: Milliseconds for which a target stays cold.
       part_stamps: Signatures of the parts that an answer contains.
       missing_parts: Number of shards that an answer lacks.
+      rate_limit: Requests per second that a target takes from all hosts.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "warmup_ms",
         "part_stamps",
         "missing_parts",
+        "rate_limit",
     )
 
     def __init__(
@@ -56,6 +58,7 @@
         warmup_ms: bytes = b"warmup-ms",
         part_stamps: bytes = b"part-stamps",
         missing_parts: bytes = b"missing-parts",
+        rate_limit: bytes = b"rate-limit",
     ):
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -66,3 +69,4 @@
         self.warmup_ms = warmup_ms
         self.part_stamps = part_stamps
         self.missing_parts = missing_parts
+        self.rate_limit = rate_limit
--- a/src/bramleyfork/entry/sections.py
+++ b/src/bramleyfork/entry/sections.py
@@ -14,6 +14,7 @@
     ("target_faults", sections.LOG, "exchanges"),
     # What hosts have learnt from the answers of targets.
     ("request_findings", sections.LOG, "exchanges"),
+    ("target_findings", sections.LOG, "target_connections"),
     ("observations", sections.TABLE, "observations"),
     ("observation_sends", sections.LOG, "observations"),
     ("peer_observations", sections.LOG, "peers"),
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -8,7 +8,9 @@
 
 from bramleyfork.core import verdicts
 from bramleyfork.entry import components
+from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
+from bramleyfork.entry.decisions import answers
 from bramleyfork.entry.transports import _target_pools
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
@@ -36,7 +38,8 @@
     components.TRANSPORTS,
     "target_connections",
     reads=("sends", "carried_sends", "aborts", "carried_aborts", "probes"),
-    writes=("replies", "probe_results"),
+    passive_reads=("observations",),
+    writes=("replies", "probe_results", "target_findings"),
 )
 class TargetTransport(components.Component):
     """Sends attempts over pooled connections and reads their replies."""
@@ -52,6 +55,7 @@
         "_expiry_checked_at",
         "_cached_request",
         "_cached_head",
+        "_answer_reader",
     )
 
     def start(self) -> None:
@@ -72,6 +76,9 @@
         self._expiry_checked_at = 0.0
         self._cached_request: exchanges.CallerRequest | None = None
         self._cached_head = b""
+        self._answer_reader = answers.AnswerReader(
+            header_names=self.context.header_names
+        )
 
     async def open(self) -> None:
         """Stores the running event loop."""
@@ -335,11 +342,34 @@
         )
         self.get_writer("replies").append(reply)
         now = self._loop.time()
+        # Status 421 is an answer of another target.
+        if not reply.fault and reply.status != 421:
+            self._record_statements(attempt.send.target, response, now)
         if reply.fault:
             connection.abort()
         elif connection.reusable_until > now:
             self._assign_or_release(attempt.pool, connection, now)
 
+    def _record_statements(
+        self,
+        target: declarations.ListedTarget,
+        response: http_client.HttpResponse,
+        now: float,
+    ) -> None:
+        """Writes what a target says about itself to "target_findings"."""
+        statements = self._answer_reader.read(response.headers)
+        known = self.get_table("observations")
+        if not statements and not len(known):
+            return
+        self.get_writer("target_findings").extend(
+            answers.build_findings(
+                target,
+                statements,
+                lambda kind, subject: known.get((kind, subject)),
+                now=now,
+            )
+        )
+
     def _check_loss(
         self,
         attempt: _target_pools.Attempt,
@@ -419,11 +449,12 @@
             self.context.metrics.count("probes_failed")
         if transport is not None:
             transport.abort()
-        self.get_writer("probe_results").append(
-            _target_replies.build_probe_result(
-                probe, response, self.context.header_names
-            )
+        result = _target_replies.build_probe_result(
+            probe, response, self.context.header_names
         )
+        if result.is_healthy:
+            self._record_statements(probe.target, response, self._loop.time())
+        self.get_writer("probe_results").append(result)
 
     def _close_expired(self, now: float) -> None:
         for address, pool in list(self._pools.items()):
--- /dev/null
+++ b/tests/entry/decisions/test_entry_answers.py
@@ -0,0 +1,85 @@
+import pytest
+
+from bramleyfork.entry import http_headers
+from bramleyfork.entry.decisions import answers
+from bramleyfork.entry.decisions import observations as kinds
+from tests.entry import creators
+from tests.entry.decisions import (
+    test_entry_observations as observation_creators,
+)
+
+NOW = observation_creators.NOW
+READER = answers.AnswerReader(header_names=http_headers.HeaderNames())
+TARGET = creators.create_target("t1", born_ms=7)
+
+
+def create_limit(value=9.5, *, age_s=0.0, **changes):
+    fields = {
+        "kind": kinds.RATE_LIMIT,
+        "subject": "t1",
+        "born_ms": 7,
+        "occasion": "",
+        "value": value,
+        "observed_at": NOW - age_s,
+        "ends_at": NOW + 30.0,
+    }
+    return observation_creators.create_observation(**(fields | changes))
+
+
+def build(statements, *known):
+    by_key = {}
+    for observation in known:
+        key = kinds.get_key(observation)
+        by_key[key] = (*by_key.get(key, ()), observation)
+    return answers.build_findings(
+        TARGET,
+        statements,
+        lambda kind, subject: by_key.get((kind, subject)),
+        now=NOW,
+    )
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [(b"9.5", 9.5), (b"0", 0.0), (b" 12 ", 12.0), (b"1e300", kinds.NO_LIMIT)],
+)
+def test_a_limit_is_read_from_an_answer(value, limit):
+    assert READER.read([(b"Rate-Limit", value)]) == {kinds.RATE_LIMIT: limit}
+
+
+@pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf"])
+def test_an_invalid_limit_says_nothing(value):
+    # Guards against a malformed header that stops all requests or the process.
+    assert READER.read([(b"rate-limit", value), (b"x", b"1")]) == {}
+
+
+def test_a_new_limit_is_a_finding():
+    (finding,) = build({kinds.RATE_LIMIT: 9.5})
+    assert (finding.subject, finding.born_ms) == ("t1", 7)
+    assert (finding.kind, finding.value) == (kinds.RATE_LIMIT, 9.5)
+
+
+def test_a_limit_that_is_known_is_no_finding_for_a_while():
+    # Guards against a datagram to every host for each answer.
+    assert build({kinds.RATE_LIMIT: 9.5}, create_limit(host="host-2")) == []
+    assert build({kinds.RATE_LIMIT: 9.5}, create_limit(age_s=6.0))
+    assert build({kinds.RATE_LIMIT: 8.0}, create_limit())
+
+
+def test_a_limit_ends_with_an_answer_without_it():
+    # Guards against limits that stay in force after the target is well again.
+    (finding,) = build({}, create_limit(host="host-2"))
+    assert finding.value == kinds.NO_LIMIT
+    assert build({}, create_limit(kinds.NO_LIMIT, host="host-2")) == []
+    assert build({}) == []
+
+
+def test_a_limit_of_an_earlier_process_does_not_hold():
+    assert build({kinds.RATE_LIMIT: 9.5}, create_limit(born_ms=6))
+    assert kinds.find_latest((create_limit(born_ms=6),), 7, NOW) is None
+
+
+def test_the_latest_statement_holds_whoever_observed_it():
+    # Guards against an older limit of one host that outlives a newer one.
+    known = (create_limit(9.0, age_s=2.0), create_limit(5.0, host="host-2"))
+    assert kinds.find_latest(known, 7, NOW).value == 5.0
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -598,3 +598,32 @@
             assert reply.fault == "lost"
 
     run(work)
+
+
+def test_a_limit_that_a_target_names_is_written_once():
+    # Guards against a target whose limit no host reads.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.reply_fault = build_reply_fault(
+                headers=(
+                    ("X-Request-Id", "r1"),
+                    ("X-Server-Stamp", "t1.r1"),
+                    ("Rate-Limit", "9.5"),
+                )
+            )
+            await ask(harness)
+            (finding,) = harness.read_new_records("target_findings")
+            assert (finding.subject, finding.value) == ("t1", 9.5)
+
+    run(work)
+
+
+def test_an_answer_of_another_target_says_nothing_of_the_expected_one():
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.name = "t2"
+            reply = await ask(harness)
+            assert reply.status == 421
+            assert harness.read_new_records("target_findings") == []
+
+    run(work)
