Keep the limits that targets name, over all hosts together

Cause: no host read the limit, and each attempt was decided without regard to what the other attempts and hosts send.

Change: each host uses a fixed fraction of the limit of each target for all attempts of its callers, direct, gathered, carried or repeated, spaced by the generic cell rate algorithm. The fractions of all hosts add up to one without an exchange. Hedges leave limits to first attempts; a request without room is refused at once and told a slot to come back at.

--- a/src/bramleyfork/entry/controllers/_dispatcher.py
+++ b/src/bramleyfork/entry/controllers/_dispatcher.py
@@ -275,16 +275,27 @@
             self.timers.schedule(due, "hedge", exchange)
 
     def send_extra(
-        self, exchange: _exchange.Exchange, shard: _exchange.Shard
+        self,
+        exchange: _exchange.Exchange,
+        shard: _exchange.Shard,
+        *,
+        is_hedge: bool = False,
     ) -> bool:
         """Sends another attempt if there is a target and retry budget left.
 
+        Args:
+          exchange: The request.
+          shard: The shard that is sent again.
+          is_hedge: Whether an earlier attempt is still unanswered.
+
         Returns:
           Whether an attempt was sent.
         """
         if shard.attempt_count >= _MAX_ATTEMPTS_PER_SHARD:
             return False
-        target = self.target_selector.choose(exchange.route, shard, self.now)
+        target = self.target_selector.choose(
+            exchange.route, shard, self.now, is_hedge=is_hedge
+        )
         if target is None or not self.quarantine.may_send(
             exchange, shard, target, self.now
         ):
--- a/src/bramleyfork/entry/controllers/_target_selector.py
+++ b/src/bramleyfork/entry/controllers/_target_selector.py
@@ -1,5 +1,6 @@
 """Chooses the target of each attempt and keeps the retry budgets."""
 
+import collections.abc
 import math
 
 from bramleyfork.core import blackboard
@@ -9,6 +10,7 @@
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import _connection_limits
 from bramleyfork.entry.controllers import _exchange
+from bramleyfork.entry.controllers import _pacing
 from bramleyfork.entry.controllers import _target_stats
 from bramleyfork.entry.decisions import budgets
 from bramleyfork.entry.decisions import ranking
@@ -37,15 +39,18 @@
       usable: Usable targets by service.
       limits: This host's connection limits.
       listed: Listed targets by id.
+      known: Observations by kind and subject.
 
     Attributes:
       limits: This host's connection limits.
+      pacing: This host's share of the limits that targets name.
     """
 
     __slots__ = (
         "_settings",
         "_usable",
         "limits",
+        "pacing",
         "_listed",
         "_listed_version",
         "_stats",
@@ -59,10 +64,14 @@
         usable: blackboard.Table,
         limits: _connection_limits.ConnectionLimits,
         listed: blackboard.Table,
+        known: blackboard.Table,
     ):
         self._settings = context.settings
         self._usable = usable
         self.limits = limits
+        self.pacing = _pacing.Pacing(
+            host=context.settings.host, known=known, limits=limits
+        )
         self._listed = listed
         self._listed_version = 0
         self._stats = _target_stats.StatsTable()
@@ -93,26 +102,83 @@
             if not self._list_usable(exchange.route, shard.service)
         ]
 
+    def list_limited(
+        self, exchange: _exchange.Exchange, now: float
+    ) -> list[tuple[float, declarations.ListedTarget]]:
+        """Returns the shards whose targets all wait for their limits.
+
+        Returns:
+          For each of these shards, the seconds until its next target may be
+          sent a request, and that target.
+        """
+        if self.pacing.is_idle():
+            return []
+        found = []
+        for shard in exchange.shards:
+            targets = self._list_usable(exchange.route, shard.service)
+            delays = [self.pacing.find_delay(t, now) for t in targets]
+            if targets and min(delays) > 0.0:
+                delay_s = min(delays)
+                found.append((delay_s, targets[delays.index(delay_s)]))
+        return found
+
     def has_untried_target(
-        self, route: declarations.Route, shard: _exchange.Shard
+        self,
+        route: declarations.Route,
+        shard: _exchange.Shard,
+        now: float,
+        *,
+        is_hedge: bool = False,
     ) -> bool:
         """Returns whether a shard may be sent to a target not tried before."""
         if len(shard.tried_targets) >= route.attempts:
             return False
         return any(
             target.target not in shard.tried_targets
-            for target in self._list_usable(route, shard.service)
+            for target in self._list_sendable(
+                route, shard.service, now, is_hedge=is_hedge
+            )
         )
 
+    def _list_sendable(
+        self,
+        route: declarations.Route,
+        service: str,
+        now: float,
+        *,
+        is_hedge: bool = False,
+    ) -> collections.abc.Sequence[declarations.ListedTarget]:
+        """Returns the usable targets whose limits leave room for a request.
+
+        A hedge is only sent to targets without a limit, so that limits are left
+        to first attempts.
+        """
+        usable = self._list_usable(route, service)
+        if self.pacing.is_idle():
+            return usable
+        return [
+            target
+            for target in usable
+            if self.pacing.find_delay(target, now) == 0.0
+            and not (is_hedge and self.pacing.is_limited(target, now))
+        ]
+
     def choose(
-        self, route: declarations.Route, shard: _exchange.Shard, now: float
+        self,
+        route: declarations.Route,
+        shard: _exchange.Shard,
+        now: float,
+        *,
+        is_hedge: bool = False,
     ) -> declarations.ListedTarget | None:
         """Returns the target with the lowest estimated cost, or None.
 
         Targets that the shard has not tried go first as long as the route
         allows another target. Otherwise one of the tried targets is chosen.
         """
-        found = self._list_usable(route, shard.service)
+        found = self._list_sendable(
+            route, shard.service, now, is_hedge=is_hedge
+        )
         tried_targets = shard.tried_targets
         if tried_targets:
             untried = [t for t in found if t.target not in tried_targets]
@@ -220,6 +286,7 @@
     def record_sent(self, attempt: _exchange.Attempt, now: float) -> None:
         """Records a sent attempt in the statistics of its target."""
         self._discard_unlisted()
+        self.pacing.record_sent(attempt.target, now)
         self._stats.find(attempt.target).record_sent(
             attempt.number, now, is_carried=attempt.carrier_address is not None
         )
@@ -264,7 +331,9 @@
         if self._listed.version == self._listed_version:
             return
         self._listed_version = self._listed.version
-        self._stats.keep(frozenset(self._listed.copy_records()))
+        listed = frozenset(self._listed.copy_records())
+        self._stats.keep(listed)
+        self.pacing.keep(listed)
 
 
 def _build_fault(
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -98,6 +98,7 @@
                     routes=self.get_table("route_table"),
                 ),
                 listed=self.get_table("listed_targets"),
+                known=self.get_table("observations"),
             ),
             carriers=_carrier_selector.CarrierSelector(
                 members=self.get_table("members")
@@ -221,7 +222,9 @@
         if exchange.deadline_at <= self._now:
             self._refuse(request, "deadline_past", 504, route=route)
             return
-        if self._refuse_quarantined(exchange):
+        if self._refuse_quarantined(exchange) or self._refuse_limited(
+            exchange, len(missing)
+        ):
             return
         self._admission.record_arrival(exchange, self._now)
         overload = self._admission.check_overload(exchange, self._now)
@@ -257,6 +260,28 @@
             return True
         return False
 
+    def _refuse_limited(
+        self, exchange: _exchange.Exchange, missing_count: int
+    ) -> bool:
+        """Refuses a request if too many shards wait for limits of targets."""
+        target_selector = self._dispatcher.target_selector
+        limited = target_selector.list_limited(exchange, self._now)
+        sendable = len(exchange.shards) - missing_count - len(limited)
+        needed = exchange.min_shards - sendable
+        if not limited or needed <= 0:
+            return False
+        limited.sort(key=lambda found: found[0])
+        _, target = limited[min(needed, len(limited)) - 1]
+        delay_s = target_selector.pacing.promise_slot(target, self._now)
+        self._refuse(
+            exchange.request,
+            "limited",
+            503,
+            route=exchange.route,
+            retry_after_s=max(_refusals.RETRY_AFTER_S, delay_s),
+        )
+        return True
+
     def _refuse(
         self,
         request: exchanges.CallerRequest,
@@ -406,7 +431,7 @@
         # Another target is tried at once, the same one after a delay.
         has_another_target = (
             self._dispatcher.target_selector.has_untried_target(
-                exchange.route, shard
+                exchange.route, shard, self._now
             )
         )
         if has_another_target and self._dispatcher.send_extra(exchange, shard):
@@ -427,10 +452,10 @@
             shard.hedge_at = None
             self._dispatcher.avoid_silent_carrier(shard.attempts[0])
             if not self._dispatcher.target_selector.has_untried_target(
-                exchange.route, shard
+                exchange.route, shard, self._now, is_hedge=True
             ):
                 continue
-            if self._dispatcher.send_extra(exchange, shard):
+            if self._dispatcher.send_extra(exchange, shard, is_hedge=True):
                 exchange.hedges += 1
 
     @_TIMER_HANDLERS.register("retry")
--- a/tests/entry/fleets.py
+++ b/tests/entry/fleets.py
@@ -12,6 +12,8 @@
 from bramleyfork.entry import settings
 from bramleyfork.entry.controllers import exchanges
 from bramleyfork.entry.controllers import observations
+from bramleyfork.entry.decisions import answers
+from bramleyfork.entry.decisions import observations as kinds
 from bramleyfork.entry.transports import peers
 from tests.entry import creators
 
@@ -39,12 +41,14 @@
       target: The target as listed.
       up_at: Time from which it is up.
       running: Number of the run, by (host, attempt), of requests in flight.
+      limit_per_s: Limit that it names in its answers; None for none.
     """
 
     def __init__(self, *, target):
         self.target = target
         self.up_at = 0.0
         self.running = {}
+        self.limit_per_s = None
 
 
 class Host:
@@ -94,6 +98,9 @@
     def put(self, section, key, record):
         self._writers[section].put(key, record)
 
+    def remove(self, section, key):
+        self._writers[section].remove(key)
+
     def append(self, section, *batch):
         self._writers[section].extend(batch)
 
@@ -118,6 +125,7 @@
     Attributes:
       now: Current time.
       arrivals: Time, host and path of each request that reached a target.
+      arrivals_by_target: Times of these requests by target.
       ends: Times at which targets ended.
       statuses: Statuses of the answers by path.
       cut: Names of the hosts that get no datagrams.
@@ -136,6 +144,7 @@
     ):
         self.now = 100.0
         self.arrivals = []
+        self.arrivals_by_target = {}
         self.ends = []
         self.statuses = {}
         self.cut = set()
@@ -268,6 +277,9 @@
             self._answer_later(host.name, send.attempt, _CRASH_S, reply)
             return
         self.arrivals.append((self.now, host.name, send.request.path))
+        self.arrivals_by_target.setdefault(send.target.target, []).append(
+            self.now
+        )
         run = next(self._order)
         target.running[host.name, send.attempt] = run
         if send.request.path == self._crashing_path:
@@ -301,9 +313,25 @@
         if target.running.get((host, send.attempt)) != run:
             return
         del target.running[host, send.attempt]
+        self._tell_statements(self.hosts[host], target)
         reply = creators.create_reply(send.attempt)
         self._answer_later(host, send.attempt, 0.0, reply)
 
+    def _tell_statements(self, host, target):
+        statements = {}
+        if target.limit_per_s is not None:
+            statements[kinds.RATE_LIMIT] = target.limit_per_s
+        known = host.board.find_table("observations")
+        host.append(
+            "target_findings",
+            *answers.build_findings(
+                target.target,
+                statements,
+                lambda kind, subject: known.get((kind, subject)),
+                now=self.now,
+            ),
+        )
+
     def _answer_later(self, host, attempt, delay_s, reply):
         del attempt
         process = self.hosts[host]
@@ -339,6 +367,18 @@
 
     # Results.
 
+    def find_limit_excess(self, name, since, window_s=4.0):
+        """Returns the most requests of a target in a window over the allowed.
+
+        One and a half times what its limit allows and five more are allowed.
+        """
+        times = [at for at in self.arrivals_by_target[name] if at >= since]
+        allowed = 1.5 * window_s * self.targets[name].limit_per_s + 5
+        return max(
+            sum(first <= at < first + window_s for at in times)
+            for first in [*times, since]
+        ) - int(allowed)
+
     def count_late_arrivals(self):
         """Returns how many crashing requests reached targets too late.
 
