Send nothing to a target that says it leaves

The statement is now an observation that all hosts know and that takes the target out of use for direct, gathered and carried requests, hedges and retries, until its process is not listed any more. Where the start of a process isn't listed, only a good health check ends it. After the change the target gets 1 or 2 of 40 requests. The test fails without the change.

--- a/src/bramleyfork/entry/controllers/targets.py
+++ b/src/bramleyfork/entry/controllers/targets.py
@@ -6,6 +6,8 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
+from bramleyfork.entry import observations
+from bramleyfork.entry.decisions import restrictions
 from bramleyfork.entry.decisions import usability
 
 _LOG = logging.getLogger(__name__)
@@ -28,6 +30,7 @@
         "evacuations",
         "target_faults",
         "probe_results",
+        "observations",
     ),
     passive_reads=("route_table",),
     writes=("usable", "probes"),
@@ -40,6 +43,7 @@
         "_health_by_target",
         "_evacuated",
         "_seen_versions",
+        "_restrictions",
         "_due_at",
         "_now",
     )
@@ -50,6 +54,7 @@
         self._health_by_target: dict[str, usability.TargetHealth] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._seen_versions = (-1, -1)
+        self._restrictions: dict[str, observations.Observation] = {}
         self._due_at: float | None = None
         self._now = 0.0
 
@@ -67,6 +72,7 @@
             self._apply_evacuations()
             self._apply_listing()
             is_changed = True
+        is_changed = self._apply_restrictions() or is_changed
         if is_changed or (self._due_at is not None and self._due_at <= now):
             self._probe()
             self._publish()
@@ -149,6 +155,41 @@
             probe_at=self._now,
         )
 
+    def _apply_restrictions(self) -> bool:
+        """Finds the targets whose own answers keep this host from sending."""
+        known = self.get_table("observations")
+        found = {}
+        for target in self.get_table("listed_targets").list_records():
+            if not len(known):
+                break
+            restriction = restrictions.find_restriction(
+                lambda kind, subject: known.get((kind, subject)),
+                target,
+                host=self.context.settings.host,
+                now=self._now,
+            )
+            if restriction is not None:
+                found[target.target] = restriction
+        is_changed = found.keys() != self._restrictions.keys()
+        for name in found.keys() - self._restrictions.keys():
+            self._log_restriction(found[name])
+            self._check_health_if_unborn(name)
+        self._restrictions = found
+        return is_changed
+
+    def _check_health_if_unborn(self, name: str) -> None:
+        """Schedules health checks of a target whose start isn't listed.
+
+        Only these show that it has restarted and what it said doesn't hold.
+        """
+        health = self._health_by_target[name]
+        if not health.born_ms:
+            health.state = usability.UNVERIFIED
+            health.probe_at = self._now + self._choose_probe_delay()
+
+    def _is_checked(self, target: declarations.ListedTarget) -> bool:
+        return not target.born_ms or target.target not in self._restrictions
+
     # Health checks and usable targets.
 
     def _probe(self) -> None:
@@ -158,6 +199,8 @@
         for target in self.get_table("listed_targets").list_records():
             health = self._health_by_target[target.target]
             service = table.services.get(target.service)
+            if not self._is_checked(target):
+                continue
             if service is None or not usability.needs_probe(
                 target, health, self._evacuated, self._now
             ):
@@ -177,7 +220,13 @@
         for target in self.get_table("listed_targets").list_records():
             found = by_service.setdefault(target.service, [])
             health = self._health_by_target[target.target]
-            if usability.is_usable(target, health, self._evacuated, self._now):
+            if usability.is_usable(
+                target,
+                health,
+                self._evacuated,
+                self._now,
+                is_restricted=target.target in self._restrictions,
+            ):
                 found.append(target)
         usable = self.get_table("usable")
         for service, targets in by_service.items():
@@ -188,10 +237,10 @@
                 self.get_writer("usable").remove(service)
 
     def _find_due(self) -> float | None:
-        times = []
+        times = [o.ends_at for o in self._restrictions.values()]
         for target in self.get_table("listed_targets").list_records():
             health = self._health_by_target.get(target.target)
-            if health is None:
+            if health is None or not self._is_checked(target):
                 continue
             warm_at = max(health.warm_at, target.warm_at)
             if warm_at > self._now:
@@ -219,3 +268,14 @@
                 "cold_s": round(max(0.0, health.warm_at - self._now), 2),
             },
         )
+
+    def _log_restriction(self, restriction: observations.Observation) -> None:
+        _LOG.info(
+            "target restricted",
+            extra={
+                "target": restriction.subject,
+                "kind": restriction.kind,
+                "owner": restriction.host,
+                "ends_in_s": round(restriction.ends_at - self._now, 2),
+            },
+        )
--- a/src/bramleyfork/entry/decisions/answers.py
+++ b/src/bramleyfork/entry/decisions/answers.py
@@ -47,6 +47,14 @@
     return Statement(kind=kinds.RATE_LIMIT, value=limit_per_s)
 
 
+@READERS.register("leaving")
+def read_leaving(value: bytes) -> Statement | None:
+    """Reads whether a target leaves."""
+    if value.strip() != b"1":
+        return None
+    return Statement(kind=kinds.LEAVING, value=1.0)
+
+
 class AnswerReader:
     """Reads the statements of answers.
 
@@ -79,20 +87,29 @@
     known: collections.abc.Callable[[str, str], kinds.Known | None],
     *,
     now: float,
+    is_health_check: bool = False,
 ) -> list[observations.Finding]:
     """Returns what an answer of a target adds to what is known of it.
 
+    A target that leaves doesn't come back, but another process may start under
+    its id. If its start isn't listed, a health check shows it.
+
     Args:
       target: The target.
       statements: Values of its statements by kind.
       known: Returns the observations of a kind and subject.
       now: Monotonic time in seconds.
+      is_health_check: Whether it is the answer to a health check, by which the
+        target is healthy.
     """
     found = dict(statements)
     # A limit ends with the first answer that doesn't name it.
     is_limited = known(kinds.RATE_LIMIT, target.target) is not None
     if is_limited and kinds.RATE_LIMIT not in found:
         found[kinds.RATE_LIMIT] = kinds.NO_LIMIT
+    is_leaving = known(kinds.LEAVING, target.target) is not None
+    if is_leaving and is_health_check and not target.born_ms:
+        found.setdefault(kinds.LEAVING, 0.0)
     return [
         observations.Finding(
             kind=kind,
--- a/src/bramleyfork/entry/decisions/observations.py
+++ b/src/bramleyfork/entry/decisions/observations.py
@@ -29,6 +29,7 @@
 TRIAL_CRASH = "trial_crash"
 COMPLETION = "completion"
 RATE_LIMIT = "rate_limit"
+LEAVING = "leaving"
 
 # Value of a rate limit that has ended, in requests per second.
 NO_LIMIT = 1e9
@@ -94,6 +95,9 @@
     return max(before, added)
 
 
+# Targets that leave are gone within minutes, and a rolling restart of all of them
+# within a day stays below MAX_OBSERVATIONS.
+@register_kind(LEAVING, lifetime_s=3600.0)
 # A target names its limit in each answer; without answers it is forgotten.
 @register_kind(RATE_LIMIT, lifetime_s=30.0)
 def keep_last(before: float, added: float) -> float:
--- a/src/bramleyfork/entry/decisions/usability.py
+++ b/src/bramleyfork/entry/decisions/usability.py
@@ -47,14 +47,24 @@
     health: TargetHealth,
     evacuated: frozenset[str],
     now: float,
+    *,
+    is_restricted: bool = False,
 ) -> bool:
     """Returns whether requests may be sent to a target.
 
     A cold target gets none: it can handle only a few, which the hosts can't
     divide among themselves.
+
+    Args:
+      target: The target as listed.
+      health: What this host has observed of it.
+      evacuated: Names of the data centres that operators have evacuated.
+      now: Monotonic time in seconds.
+      is_restricted: Whether its own answers keep this host from sending to it.
     """
     return (
         is_in_service(target, evacuated)
+        and not is_restricted
         and health.state == READY
         and max(health.warm_at, target.warm_at) <= now
     )
--- a/src/bramleyfork/entry/http_headers.py
+++ b/src/bramleyfork/entry/http_headers.py
@@ -31,6 +31,7 @@
       part_stamps: Signatures of the parts that an answer contains.
       missing_parts: Number of shards that an answer lacks.
       rate_limit: Requests per second that a target takes from all hosts.
+      leaving: 1 in the answers of a target that is about to leave.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "part_stamps",
         "missing_parts",
         "rate_limit",
+        "leaving",
     )
 
     def __init__(
@@ -59,6 +61,7 @@
         part_stamps: bytes = b"part-stamps",
         missing_parts: bytes = b"missing-parts",
         rate_limit: bytes = b"rate-limit",
+        leaving: bytes = b"leaving",
     ):
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -70,3 +73,4 @@
         self.part_stamps = part_stamps
         self.missing_parts = missing_parts
         self.rate_limit = rate_limit
+        self.leaving = leaving
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -355,6 +355,8 @@
         target: declarations.ListedTarget,
         response: http_client.HttpResponse,
         now: float,
+        *,
+        is_health_check: bool = False,
     ) -> None:
         """Writes what a target says about itself to "target_findings"."""
         statements = self._answer_reader.read(response.headers)
@@ -367,6 +369,7 @@
                 statements,
                 lambda kind, subject: known.get((kind, subject)),
                 now=now,
+                is_health_check=is_health_check,
             )
         )
 
@@ -453,7 +456,9 @@
             probe, response, self.context.header_names
         )
         if result.is_healthy:
-            self._record_statements(probe.target, response, self._loop.time())
+            self._record_statements(
+                probe.target, response, self._loop.time(), is_health_check=True
+            )
         self.get_writer("probe_results").append(result)
 
     def _close_expired(self, now: float) -> None:
--- a/tests/entry/controllers/test_entry_targets.py
+++ b/tests/entry/controllers/test_entry_targets.py
@@ -2,8 +2,12 @@
 
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import targets as controller
+from bramleyfork.entry.decisions import observations as kinds
 from tests.entry import boards
 from tests.entry import creators
+from tests.entry.decisions import (
+    test_entry_observations as observation_creators,
+)
 
 
 def start(**changes):
@@ -150,3 +154,50 @@
     assert len(harness.read_new_records("probes")) == 1
     report_probe(harness)
     assert list_usable(harness) == ["a"]
+
+
+def put_observation(harness, kind, **changes):
+    fields = {
+        "kind": kind,
+        "subject": "a",
+        "occasion": "",
+        "born_ms": harness.target.born_ms,
+        "value": 1.0,
+        "observed_at": harness.now,
+        "ends_at": harness.now + 600.0,
+    }
+    harness.put(
+        "observations",
+        (kind, "a"),
+        (observation_creators.create_observation(**(fields | changes)),),
+    )
+    harness.step()
+
+
+def test_a_target_that_said_it_leaves_is_not_used():
+    # Guards against work for a target that any host has seen leaving.
+    harness = start()
+    put_observation(harness, kinds.LEAVING, host="host-2")
+    assert list_usable(harness) == []
+    harness.step(5.0)
+    assert harness.read_new_records("probes") == []
+
+
+def test_a_new_process_of_a_target_that_left_is_used():
+    # Guards against a target that is out of use after it has restarted.
+    harness = start()
+    put_observation(harness, kinds.LEAVING)
+    harness.put("listed_targets", "a", harness.target.replace(born_ms=2))
+    harness.step()
+    assert list_usable(harness) == ["a"]
+
+
+def test_a_target_without_a_listed_start_is_used_after_a_health_check():
+    # Guards against a restart that the listing doesn't show.
+    harness = start(born_ms=0)
+    put_observation(harness, kinds.LEAVING)
+    harness.step(2.0)
+    assert harness.read_new_records("probes")
+    put_observation(harness, kinds.LEAVING, value=0.0)
+    report_probe(harness)
+    assert list_usable(harness) == ["a"]
--- a/tests/entry/decisions/test_entry_answers.py
+++ b/tests/entry/decisions/test_entry_answers.py
@@ -83,3 +83,34 @@
     # Guards against an older limit of one host that outlives a newer one.
     known = (create_limit(9.0, age_s=2.0), create_limit(5.0, host="host-2"))
     assert kinds.find_latest(known, 7, NOW).value == 5.0
+
+
+def create_leave(value=1.0, **changes):
+    return create_limit(value, kind=kinds.LEAVING, **changes)
+
+
+def test_a_leave_is_read_from_an_answer_and_told_once():
+    statements = READER.read([(b"Leaving", b"1")])
+    (finding,) = build(statements)
+    assert (finding.kind, finding.value) == (kinds.LEAVING, 1.0)
+    assert build(statements, create_leave(host="host-2")) == []
+    assert READER.read([(b"Leaving", b"0")]) == {}
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "is_health_check", "ends"),
+    [(7, False, False), (7, True, False), (0, False, False), (0, True, True)],
+)
+def test_a_leave_ends_with_a_health_check_of_a_process_without_listed_start(
+    born_ms, is_health_check, ends
+):
+    # Guards against answers to earlier requests that seem to end a leave.
+    known = (create_leave(born_ms=born_ms),)
+    found = answers.build_findings(
+        TARGET.replace(born_ms=born_ms),
+        {},
+        lambda kind, _: known if kind == kinds.LEAVING else None,
+        now=NOW,
+        is_health_check=is_health_check,
+    )
+    assert [finding.value for finding in found] == [0.0] * ends
--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -315,3 +315,33 @@
             assert (await environment.query(2))[0] == 200
 
     run(work)
+
+
+def add_headers(*headers, status=None):
+    """Returns a fault that adds headers to replies."""
+
+    def alter(request, reply):
+        del request
+        reply.headers = (*reply.headers, *headers)
+        reply.status = status or reply.status
+        return reply
+
+    return alter
+
+
+def test_a_replica_that_says_it_leaves_gets_no_new_work():
+    # Guards against a target that leaves before the store says so.
+    async def work():
+        async with run_environment() as environment:
+            leaving = environment.replicas["s1a"]
+            leaving.reply_fault = add_headers(("Server-Leaving", "1"))
+            for number in range(20):
+                await environment.query(number)
+            runs = len(leaving.started_requests)
+            assert runs in (1, 2)
+            for number in range(20):
+                _, headers, _ = await environment.query(100 + number)
+                assert headers["x-missing-parts"] == "0"
+            assert len(leaving.started_requests) == runs
+
+    run(work)
