Keep to the pause that a target asks for with Retry-After

It held mostly by chance, as a target that refuses looks slow, but not for attempts that wait for a connection: of 12 that waited at a target with two connections all 12 reached it in its pause, one after another.

The pause is an observation whose owner keeps to it until its end; requests, hedges, retries, carried calls and health checks pass the target over, and attempts that wait for a connection to it are taken back as not run. Now 2 of the 12 reach it.

--- a/src/bramleyfork/entry/decisions/answers.py
+++ b/src/bramleyfork/entry/decisions/answers.py
@@ -12,6 +12,11 @@
 # A target repeats a statement in each answer. It is observed again if no host
 # has observed it for this long.
 _REPEAT_INTERVAL_S = 5.0
+# A pause is observed again if it ends this much later than the one known.
+_PAUSE_RESOLUTION_S = 0.02
+_SERVICE_UNAVAILABLE = 503
+# Statements after which attempts that wait for a connection are not sent.
+_STOPPING_KINDS = frozenset((kinds.LEAVING, kinds.PAUSE))
 
 Headers = collections.abc.Iterable[tuple[bytes, bytes]]
 
@@ -22,25 +27,31 @@
     Attributes:
       kind: Name in ``decisions.observations.KINDS``.
       value: Value of the observation.
+      lifetime_s: Seconds for which it holds; None for the default of the kind.
     """
 
-    __slots__ = ("kind", "value")
+    __slots__ = ("kind", "value", "lifetime_s")
 
-    def __init__(self, *, kind: str, value: float):
+    def __init__(
+        self, *, kind: str, value: float, lifetime_s: float | None = None
+    ):
         self.kind = kind
         self.value = value
+        self.lifetime_s = lifetime_s
 
 
 # Functions by the name of the field in HeaderNames. Each returns the statement
-# that a header value makes, or None for a value that is invalid.
+# that a header value makes in an answer with a status, or None if it makes none
+# or is invalid.
 READERS: registries.Registry[
-    collections.abc.Callable[[bytes], Statement | None]
+    collections.abc.Callable[[bytes, int], Statement | None]
 ] = registries.Registry(kind="answer header")
 
 
 @READERS.register("rate_limit")
-def read_rate_limit(value: bytes) -> Statement | None:
+def read_rate_limit(value: bytes, status: int) -> Statement | None:
     """Reads how many requests a second a target takes from all hosts."""
+    del status
     limit_per_s = _parse_decimal(value)
     if limit_per_s is None:
         return None
@@ -48,13 +59,29 @@
 
 
 @READERS.register("leaving")
-def read_leaving(value: bytes) -> Statement | None:
+def read_leaving(value: bytes, status: int) -> Statement | None:
     """Reads whether a target leaves."""
+    del status
     if value.strip() != b"1":
         return None
     return Statement(kind=kinds.LEAVING, value=1.0)
 
 
+@READERS.register("retry_after")
+def read_pause(value: bytes, status: int) -> Statement | None:
+    """Reads for how long a target that refused a request wants no others.
+
+    Dates are not read: clocks of targets and hosts may differ.
+    """
+    pause_s = _parse_decimal(value)
+    if status != _SERVICE_UNAVAILABLE or not pause_s:
+        return None
+    return Statement(kind=kinds.PAUSE, value=pause_s, lifetime_s=pause_s)
+
+
+Statements = collections.abc.Mapping[str, Statement]
+
+
 class AnswerReader:
     """Reads the statements of answers.
 
@@ -70,22 +97,33 @@
             for field, read in READERS.list_items()
         }
 
-    def read(self, headers: Headers) -> dict[str, float]:
-        """Returns the values of the statements in an answer by their kind."""
+    def read(self, headers: Headers, status: int = 200) -> Statements:
+        """Returns the statements in an answer by their kind.
+
+        Args:
+          headers: Names and values of its header fields.
+          status: Its status code.
+        """
         found = {}
         for name, value in headers:
             read = self._readers.get(name.lower())
-            statement = read(value) if read else None
+            statement = read(value, status) if read else None
             if statement is not None:
-                found[statement.kind] = statement.value
+                found[statement.kind] = statement
         return found
 
 
+def is_stopping(statements: Statements) -> bool:
+    """Returns whether a target wants no more requests from the host it told."""
+    return not _STOPPING_KINDS.isdisjoint(statements)
+
+
 def build_findings(
     target: declarations.ListedTarget,
-    statements: collections.abc.Mapping[str, float],
+    statements: Statements,
     known: collections.abc.Callable[[str, str], kinds.Known | None],
     *,
+    host: str,
     now: float,
     is_health_check: bool = False,
 ) -> list[observations.Finding]:
@@ -96,8 +134,9 @@
 
     Args:
       target: The target.
-      statements: Values of its statements by kind.
+      statements: Its statements by kind.
       known: Returns the observations of a kind and subject.
+      host: Name of this host.
       now: Monotonic time in seconds.
       is_health_check: Whether it is the answer to a health check, by which the
         target is healthy.
@@ -105,35 +144,52 @@
     found = dict(statements)
     # A limit ends with the first answer that doesn't name it.
     is_limited = known(kinds.RATE_LIMIT, target.target) is not None
-    if is_limited and kinds.RATE_LIMIT not in found:
-        found[kinds.RATE_LIMIT] = kinds.NO_LIMIT
+    if is_limited:
+        found.setdefault(
+            kinds.RATE_LIMIT,
+            Statement(kind=kinds.RATE_LIMIT, value=kinds.NO_LIMIT),
+        )
     is_leaving = known(kinds.LEAVING, target.target) is not None
     if is_leaving and is_health_check and not target.born_ms:
-        found.setdefault(kinds.LEAVING, 0.0)
+        found.setdefault(
+            kinds.LEAVING, Statement(kind=kinds.LEAVING, value=0.0)
+        )
     return [
         observations.Finding(
-            kind=kind,
+            kind=statement.kind,
             subject=target.target,
             born_ms=target.born_ms,
-            value=value,
+            value=statement.value,
+            lifetime_s=statement.lifetime_s,
+        )
+        for statement in found.values()
+        if _is_news(
+            known(statement.kind, target.target),
+            target,
+            statement,
+            host=host,
+            now=now,
         )
-        for kind, value in found.items()
-        if _is_news(known(kind, target.target), target, value, now=now)
     ]
 
 
 def _is_news(
     known: kinds.Known | None,
     target: declarations.ListedTarget,
-    value: float,
+    statement: Statement,
     *,
+    host: str,
     now: float,
 ) -> bool:
+    if statement.kind == kinds.PAUSE:
+        own = kinds.find_latest(known, target.born_ms, now, host=host)
+        ends_at = now + statement.value
+        return own is None or own.ends_at + _PAUSE_RESOLUTION_S < ends_at
     latest = kinds.find_latest(known, target.born_ms, now)
-    if latest is None or latest.value != value:
+    if latest is None or latest.value != statement.value:
         return True
     is_repeated = latest.observed_at <= now - _REPEAT_INTERVAL_S
-    return value != kinds.NO_LIMIT and is_repeated
+    return statement.value != kinds.NO_LIMIT and is_repeated
 
 
 def _parse_decimal(value: bytes) -> float | None:
--- a/src/bramleyfork/entry/decisions/observations.py
+++ b/src/bramleyfork/entry/decisions/observations.py
@@ -30,6 +30,7 @@
 COMPLETION = "completion"
 RATE_LIMIT = "rate_limit"
 LEAVING = "leaving"
+PAUSE = "pause"
 
 # Value of a rate limit that has ended, in requests per second.
 NO_LIMIT = 1e9
@@ -95,9 +96,11 @@
     return max(before, added)
 
 
-# Targets that leave are gone within minutes, and a rolling restart of all of them
+# Targets that leave are gone within minutes. A rolling restart of all of them
 # within a day stays below MAX_OBSERVATIONS.
 @register_kind(LEAVING, lifetime_s=3600.0)
+# A pause ends when the target said. It may say more than anybody waits for.
+@register_kind(PAUSE, lifetime_s=600.0)
 # A target names its limit in each answer; without answers it is forgotten.
 @register_kind(RATE_LIMIT, lifetime_s=30.0)
 def keep_last(before: float, added: float) -> float:
@@ -122,7 +125,7 @@
 
 
 def find_latest(
-    known: Known | None, born_ms: int, now: float
+    known: Known | None, born_ms: int, now: float, *, host: str | None = None
 ) -> observations.Observation | None:
     """Returns the latest observation of one process of a target, or None.
 
@@ -130,9 +133,14 @@
       known: Observations of one kind and target; None for none.
       born_ms: Start of the target's process in milliseconds since 1970.
       now: Monotonic time in seconds.
+      host: Name of the only owner that counts; None for all.
     """
     return max(
-        (o for o in select_in_force(known, now) if o.born_ms == born_ms),
+        (
+            o
+            for o in select_in_force(known, now)
+            if o.born_ms == born_ms and host in (None, o.host)
+        ),
         key=lambda o: (o.observed_at, o.host),
         default=None,
     )
--- a/src/bramleyfork/entry/decisions/restrictions.py
+++ b/src/bramleyfork/entry/decisions/restrictions.py
@@ -7,18 +7,38 @@
 from bramleyfork.entry import observations
 from bramleyfork.entry.decisions import observations as kinds
 
-# Functions by kind of observation. Each returns whether an observation keeps a
-# host from sending requests to its target.
+# Functions by kind of observation. Each returns the observation that keeps a
+# host from sending requests to a target, or None.
 RESTRICTIONS: registries.Registry[
-    collections.abc.Callable[[observations.Observation, str], bool]
+    collections.abc.Callable[
+        [kinds.Known, declarations.ListedTarget, str, float],
+        observations.Observation | None,
+    ]
 ] = registries.Registry(kind="restriction of targets")
 
 
 @RESTRICTIONS.register(kinds.LEAVING)
-def check_leaving(observation: observations.Observation, host: str) -> bool:
-    """A target that leaves gets nothing from any host."""
+def find_leave(
+    known: kinds.Known,
+    target: declarations.ListedTarget,
+    host: str,
+    now: float,
+) -> observations.Observation | None:
+    """Finds out whether a target leaves; it then gets nothing from any host."""
     del host
-    return bool(observation.value)
+    latest = kinds.find_latest(known, target.born_ms, now)
+    return latest if latest is not None and latest.value else None
+
+
+@RESTRICTIONS.register(kinds.PAUSE)
+def find_pause(
+    known: kinds.Known,
+    target: declarations.ListedTarget,
+    host: str,
+    now: float,
+) -> observations.Observation | None:
+    """Finds out whether a target has asked this very host for a pause."""
+    return kinds.find_latest(known, target.born_ms, now, host=host)
 
 
 def find_restriction(
@@ -39,10 +59,9 @@
       now: Monotonic time in seconds.
     """
     found = []
-    for kind, applies in RESTRICTIONS.list_items():
-        latest = kinds.find_latest(
-            known(kind, target.target), target.born_ms, now
-        )
-        if latest is not None and applies(latest, host):
-            found.append(latest)
+    for kind, find in RESTRICTIONS.list_items():
+        observed = known(kind, target.target)
+        restriction = find(observed, target, host, now) if observed else None
+        if restriction is not None:
+            found.append(restriction)
     return max(found, key=lambda o: o.ends_at, default=None)
--- a/src/bramleyfork/entry/http_headers.py
+++ b/src/bramleyfork/entry/http_headers.py
@@ -32,6 +32,8 @@
       missing_parts: Number of shards that an answer lacks.
       rate_limit: Requests per second that a target takes from all hosts.
       leaving: 1 in the answers of a target that is about to leave.
+      retry_after: Seconds for which a target that refused a request with 503
+        wants none from the host that sent it.
     """
 
     __slots__ = (
@@ -46,6 +48,7 @@
         "missing_parts",
         "rate_limit",
         "leaving",
+        "retry_after",
     )
 
     def __init__(
@@ -62,6 +65,7 @@
         missing_parts: bytes = b"missing-parts",
         rate_limit: bytes = b"rate-limit",
         leaving: bytes = b"leaving",
+        retry_after: bytes = b"retry-after",
     ):
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -74,3 +78,4 @@
         self.missing_parts = missing_parts
         self.rate_limit = rate_limit
         self.leaving = leaving
+        self.retry_after = retry_after
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -204,7 +204,7 @@
             self._settle_losses(
                 pool, has_ended=isinstance(error, ConnectionRefusedError)
             )
-            self._fail_waiting(pool)
+            self._fail_waiting(pool, "connect")
             return
         pool.opening -= 1
         self._settle_losses(pool, has_ended=pool.has_lost_all(loop.time()))
@@ -215,10 +215,10 @@
         connection.reusable_until = now + _CONNECT_TIMEOUT_S
         self._assign_or_release(pool, connection, now)
 
-    def _fail_waiting(self, pool: _target_pools.Pool) -> None:
+    def _fail_waiting(self, pool: _target_pools.Pool, fault: str) -> None:
         while pool.waiting:
             attempt = pool.waiting.popleft()
-            self._report_fault(attempt, "connect", verdicts.Verdict.NOT_RUN)
+            self._report_fault(attempt, fault, verdicts.Verdict.NOT_RUN)
 
     def _assign_or_release(
         self,
@@ -344,7 +344,11 @@
         now = self._loop.time()
         # Status 421 is an answer of another target.
         if not reply.fault and reply.status != 421:
-            self._record_statements(attempt.send.target, response, now)
+            statements = self._record_statements(
+                attempt.send.target, response, now
+            )
+            if answers.is_stopping(statements):
+                self._fail_waiting(attempt.pool, "not_usable")
         if reply.fault:
             connection.abort()
         elif connection.reusable_until > now:
@@ -357,21 +361,27 @@
         now: float,
         *,
         is_health_check: bool = False,
-    ) -> None:
-        """Writes what a target says about itself to "target_findings"."""
-        statements = self._answer_reader.read(response.headers)
+    ) -> answers.Statements:
+        """Writes what a target says about itself to "target_findings".
+
+        Returns:
+          Its statements by kind.
+        """
+        statements = self._answer_reader.read(response.headers, response.status)
         known = self.get_table("observations")
         if not statements and not len(known):
-            return
+            return statements
         self.get_writer("target_findings").extend(
             answers.build_findings(
                 target,
                 statements,
                 lambda kind, subject: known.get((kind, subject)),
+                host=self.context.settings.host,
                 now=now,
                 is_health_check=is_health_check,
             )
         )
+        return statements
 
     def _check_loss(
         self,
--- a/tests/entry/controllers/test_entry_targets.py
+++ b/tests/entry/controllers/test_entry_targets.py
@@ -201,3 +201,21 @@
     put_observation(harness, kinds.LEAVING, value=0.0)
     report_probe(harness)
     assert list_usable(harness) == ["a"]
+
+
+def test_a_target_that_asked_this_host_for_a_pause_is_not_used_until_its_end():
+    # Guards against requests to a target that has turned this host away.
+    harness = start()
+    put_observation(harness, kinds.PAUSE, ends_at=harness.now + 2.0)
+    harness.step(1.9)
+    assert list_usable(harness) == []
+    assert harness.read_new_records("probes") == []
+    harness.step(0.2)
+    assert list_usable(harness) == ["a"]
+
+
+def test_a_pause_that_a_target_asked_of_another_host_changes_nothing():
+    # Guards against a target that no host uses as one was turned away.
+    harness = start()
+    put_observation(harness, kinds.PAUSE, host="host-2")
+    assert list_usable(harness) == ["a"]
--- a/tests/entry/fleets.py
+++ b/tests/entry/fleets.py
@@ -320,7 +320,9 @@
     def _tell_statements(self, host, target):
         statements = {}
         if target.limit_per_s is not None:
-            statements[kinds.RATE_LIMIT] = target.limit_per_s
+            statements[kinds.RATE_LIMIT] = answers.Statement(
+                kind=kinds.RATE_LIMIT, value=target.limit_per_s
+            )
         known = host.board.find_table("observations")
         host.append(
             "target_findings",
@@ -328,6 +330,7 @@
                 target.target,
                 statements,
                 lambda kind, subject: known.get((kind, subject)),
+                host=host.name,
                 now=self.now,
             ),
         )
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -627,3 +627,24 @@
             assert harness.read_new_records("target_findings") == []
 
     run(work)
+
+
+def test_attempts_that_wait_for_a_connection_are_not_sent_in_a_pause():
+    # Guards against a queue that is sent one by one to a target that has asked
+    # for a pause.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.service_time_s = 0.05
+            replica.reply_fault = build_reply_fault(
+                status=503,
+                headers=(("Retry-After", "9"), ("X-Not-Executed", "1")),
+            )
+            for _ in range(12):
+                send(harness, limit=2)
+            found = await wait_for_replies(harness, 12)
+            assert len(replica.started_requests) == 2
+            faults = [reply.fault for reply in found if reply.fault]
+            assert faults == ["not_usable"] * 10
+            assert {reply.verdict for reply in found} == {NOT_RUN}
+
+    run(work)
--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -345,3 +345,35 @@
             assert len(leaving.started_requests) == runs
 
     run(work)
+
+
+def test_replicas_that_ask_for_a_pause_get_nothing_until_its_end():
+    # Guards against requests to targets that turn this host away, for lack of
+    # others.
+    async def work():
+        async with run_environment() as environment:
+            loop = asyncio.get_running_loop()
+            paused = [environment.replicas["s1" + side] for side in "ab"]
+            for replica in paused:
+                replica.reply_fault = add_headers(
+                    ("X-Not-Executed", "1"), ("Retry-After", "1.5"), status=503
+                )
+
+            def count_runs():
+                return sum(len(replica.started_requests) for replica in paused)
+
+            start_at = loop.time()
+            while loop.time() < start_at + 0.5:
+                await environment.query(0)
+            before = count_runs()
+            assert before >= 2
+            while loop.time() < start_at + 1.4:
+                await environment.query(1)
+            assert count_runs() == before
+            for replica in paused:
+                replica.reply_fault = None
+            await asyncio.sleep(0.6)
+            _, headers, _ = await environment.query(2)
+            assert headers["x-missing-parts"] == "0"
+
+    run(work)
