--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -283,6 +283,38 @@
     run(work)
 
 
+def test_odd_entries_of_another_writer_do_not_stop_the_host():
+    # Guards against a list of targets that is not followed any more.
+    async def work():
+        async with run_environment() as environment:
+            nested = []
+            for _ in range(300):
+                nested = [nested]
+            odd = {
+                "service": nested,
+                "slots": 10**300,
+                "address": "1.2.3.4:99999",
+            }
+            for number, (name, value) in enumerate(odd.items()):
+                entry = items.TARGET | {"service": "s1", name: value}
+                environment.store.put(f"servers/odd{number}", entry)
+            environment.publish_replica("s1a", state="draining")
+            await component_runner.wait_for(
+                lambda: (
+                    [
+                        t.target
+                        for t in environment.host.board.find_table(
+                            "usable"
+                        ).get("s1")
+                    ]
+                    == ["s1b"]
+                )
+            )
+            assert (await environment.query(1))[0] == 200
+
+    run(work)
+
+
 def test_a_stalled_replica_does_not_make_the_answer_partial():
     async def work():
         async with run_environment() as environment:
--- a/tests/platform_adapter/test_platform_items.py
+++ b/tests/platform_adapter/test_platform_items.py
@@ -125,6 +125,35 @@
     assert not change.is_removed
 
 
+def read_text(text):
+    value = base64.b64encode(text.encode()).decode()
+    item = {"key": "servers/t1", "revision": 5, "value": value}
+    return platform_items.decode_change(item, 1000.0)
+
+
+@pytest.mark.parametrize("field", [*TARGET, "another"])
+@pytest.mark.parametrize("depth", [100, 900, 985, 995, 1005, 100_000])
+@pytest.mark.parametrize(("left", "right"), [("[", "]"), ('{"a":', "}")])
+def test_a_deeply_nested_target_does_not_raise(field, depth, left, right):
+    # Guards against an entry of another program that ends the process, when it
+    # is parsed or when the log line about it is written.
+    others = {k: v for k, v in TARGET.items() if k != field}
+    nested = left * depth + "1" + right * depth
+    text = json.dumps(others)[:-1] + f', "{field}": {nested}}}'
+    assert not read_text(text).is_removed
+
+
+@pytest.mark.parametrize("field", [*TARGET, "another"])
+@pytest.mark.parametrize(
+    "number", ["1e400", "-1e400", "1" + "0" * 400, "9" * 5000, "NaN"]
+)
+def test_a_number_that_is_too_large_does_not_raise(field, number):
+    # Guards against numbers that no later calculation can use.
+    others = {k: v for k, v in TARGET.items() if k != field}
+    text = json.dumps(others)[:-1] + f', "{field}": {number}}}'
+    assert not read_text(text).is_removed
+
+
 @pytest.mark.parametrize(
     "name", [n for n in TARGET if n not in ("version", "born")]
 )
