Answer requests before the process of a host stops

From SIGTERM on the deadline of each request is 0.2 s before the process stops, so it gets what is ready, 502 or 504 then; a request whose latency target lies beyond is refused with 503 as not run. The new test of the whole host failed before with a connection that ended without a byte.

--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -52,6 +52,7 @@
         "via_replies",
         "via_failures",
         "route_table",
+        "lifecycle",
     ),
     passive_reads=(
         "usable",
@@ -80,6 +81,7 @@
         "_admission",
         "_refusals",
         "_random",
+        "_answer_by",
         "_now",
     )
 
@@ -129,6 +131,7 @@
         self._exchange_builder = _exchange_builder.ExchangeBuilder(
             route_latencies=self._dispatcher.route_latencies, rng=self._random
         )
+        self._answer_by: float | None = None
         self._now = 0.0
 
     def step(self, now: float) -> float | None:
@@ -136,6 +139,7 @@
         self._now = now
         self._dispatcher.now = now
         self._switch.observe(self.get_table("route_table").get("current"), now)
+        self._apply_phase()
         for key in self.read_new_records("departures"):
             self._contain(self._handle_disconnect, key)
         for reply in self.read_new_records("replies") + self.read_new_records(
@@ -160,6 +164,19 @@
                 self._fail_request(exchange.request)
         return timers.find_next()
 
+    def _apply_phase(self) -> None:
+        """Bounds the deadlines of all requests once the process will stop."""
+        phase = self.get_table("lifecycle").get("current")
+        if phase is None or phase.answer_by == self._answer_by:
+            return
+        self._answer_by = phase.answer_by
+        for exchange in self._in_flight.values():
+            if exchange.deadline_at > self._answer_by:
+                exchange.deadline_at = self._answer_by
+                self._dispatcher.timers.schedule(
+                    self._answer_by, "deadline", exchange
+                )
+
     def _contain(
         self, handle: collections.abc.Callable[..., None], *args: typing.Any
     ) -> bool:
@@ -222,6 +239,11 @@
         if exchange.deadline_at <= self._now:
             self._refuse(request, "deadline_past", 504, route=route)
             return
+        if self._answer_by is not None:
+            if self._now + route.aim_s > self._answer_by:
+                self._refuse(request, "stopping", 503, route=route)
+                return
+            exchange.deadline_at = min(exchange.deadline_at, self._answer_by)
         if self._refuse_quarantined(exchange) or self._refuse_limited(
             exchange, len(missing)
         ):
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -6,6 +6,7 @@
 from bramleyfork.entry import feeds
 from bramleyfork.entry import fleet
 from bramleyfork.entry.controllers import exchanges as controller
+from bramleyfork.entry.controllers import lifecycle
 from bramleyfork.entry.decisions import matching
 from tests.entry import boards
 from tests.entry import creators
@@ -937,3 +938,39 @@
     answer(harness, second, body=b"")
     (response,) = harness.read_new_records("responses")
     assert response.body == b"".join(reversed(records[-3:]))
+
+
+# The end of the process.
+
+
+def stop_by(harness, answer_by):
+    harness.put(
+        "lifecycle",
+        "current",
+        lifecycle.Phase(phase=lifecycle.LEAVING, answer_by=answer_by),
+    )
+    harness.step()
+
+
+def test_requests_in_flight_are_answered_before_the_process_stops():
+    # Guards against callers whose connection is cut off without an answer.
+    harness = start_single(idempotent=False, timeout_s=9.0)
+    send_request(harness, wait_s=9.0)
+    stop_by(harness, harness.now + 1.0)
+    harness.step(0.99)
+    assert harness.read_new_records("responses") == []
+    harness.step(0.02)
+    (response,) = harness.read_new_records("responses")
+    assert response.status in (502, 504)
+
+
+def test_a_request_without_time_left_before_the_stop_has_not_run():
+    # Guards against a request that may run once and whose outcome is lost.
+    harness = start_single(idempotent=False, aim_s=0.5, timeout_s=9.0)
+    stop_by(harness, harness.now + 1.0)
+    (send,) = send_request(harness, wait_s=9.0)
+    assert send.deadline_at <= harness.now + 1.0
+    harness.step(0.6)
+    assert send_request(harness, key=2, wait_s=9.0) == []
+    (response,) = harness.read_new_records("responses")
+    assert (response.key, response.status) == (2, 503)
--- a/tests/entry/controllers/test_entry_lifecycle.py
+++ b/tests/entry/controllers/test_entry_lifecycle.py
@@ -89,3 +89,12 @@
     assert find_phase(harness) == controller.CLOSING
     report(harness, 0, 0)
     assert find_phase(harness) == controller.STOPPED
+
+
+def test_requests_are_answered_before_the_process_stops():
+    # Guards against answers that are still on their way when it ends.
+    harness = start()
+    assert harness.get("lifecycle").answer_by is None
+    signalled_at = harness.now
+    terminate(harness)
+    assert 5.0 < harness.get("lifecycle").answer_by - signalled_at < 5.5
--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -102,7 +102,7 @@
         }
         self.store.put(f"servers/{name}", entry | changes)
 
-    def declare(self, version=1, **route):
+    def declare(self, version=1, *, one_timeout_ms=900, **route):
         table = items.create_configuration(
             **({"gather": list(SHARDS), "allowed_regions": []} | route)
         )
@@ -116,7 +116,7 @@
                 "host": "a.example",
                 "prefix": "/one/",
                 "route_type": "unsafe",
-                "timeout_ms": 900,
+                "timeout_ms": one_timeout_ms,
                 "target_latency_ms": 300,
                 "priority": 1,
                 "service": "s1",
@@ -349,6 +349,37 @@
     run(work)
 
 
+def test_requests_that_come_late_in_the_grace_are_answered():
+    # Guards against requests that are passed on and cut off when the process
+    # ends.
+    async def work():
+        async with run_environment() as environment:
+            environment.declare(version=2, one_timeout_ms=8000)
+            await asyncio.sleep(0.2)
+            for replica in environment.replicas.values():
+                replica.service_time_s = 3.0
+            signal.raise_signal(signal.SIGTERM)
+            await asyncio.sleep(4.0)
+            tasks = [
+                asyncio.create_task(
+                    environment.call(
+                        environment.front,
+                        "/one/1",
+                        method="POST",
+                        X_Request_Id=f"p{number}",
+                        X_Deadline_Ms="5000",
+                    )
+                )
+                for number in range(4)
+            ]
+            found = await asyncio.gather(*tasks)
+            await asyncio.wait_for(environment.task, 3.0)
+            statuses = [status for status, _, _ in found]
+            assert set(statuses) <= {502, 503, 504}, statuses
+
+    run(work)
+
+
 def add_headers(*headers, status=None):
     """Returns a fault that adds headers to replies."""
 
