--- a/src/bramleyfork/entry/controllers/observations.py
+++ b/src/bramleyfork/entry/controllers/observations.py
@@ -13,11 +13,14 @@
 
 _LOG = logging.getLogger("bramleyfork.decisions")
 
+# Logs of what components of this host have learnt.
+_FINDINGS = ("request_findings", "target_findings", "probe_findings")
+
 
 @components.register(
     components.CONTROLLERS,
     "observations",
-    reads=("request_findings", "target_findings", "peer_observations"),
+    reads=(*_FINDINGS, "peer_observations"),
     passive_reads=("members",),
     writes=("observations", "observation_sends"),
 )
@@ -51,7 +54,7 @@
     def step(self, now: float) -> float | None:
         """Stores new observations, sends them, and drops those that ended."""
         self._now = now
-        for section in ("request_findings", "target_findings"):
+        for section in _FINDINGS:
             for finding in self.read_new_records(section):
                 self._handle_finding(finding)
         for received in self.read_new_records("peer_observations"):
--- a/src/bramleyfork/entry/sections.py
+++ b/src/bramleyfork/entry/sections.py
@@ -15,6 +15,7 @@
     # What hosts have learnt from the answers of targets.
     ("request_findings", sections.LOG, "exchanges"),
     ("target_findings", sections.LOG, "target_connections"),
+    ("probe_findings", sections.LOG, "health_checks"),
     ("observations", sections.TABLE, "observations"),
     ("observation_sends", sections.LOG, "observations"),
     ("peer_observations", sections.LOG, "peers"),
@@ -39,7 +40,7 @@
     # Usable targets and health checks.
     ("usable", sections.TABLE, "targets"),
     ("probes", sections.LOG, "targets"),
-    ("probe_results", sections.LOG, "target_connections"),
+    ("probe_results", sections.LOG, "health_checks"),
     # Membership of the entry hosts, and the lifecycle of this one.
     ("members", sections.TABLE, "membership"),
     ("peer_sends", sections.LOG, "membership"),
--- /dev/null
+++ b/src/bramleyfork/entry/transports/_request_encoder.py
@@ -0,0 +1,72 @@
+"""Encodes the requests that are sent to targets."""
+
+from bramleyfork.entry import exchanges
+from bramleyfork.entry import http_headers
+from bramleyfork.entry.transports import server_connections
+
+_METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
+
+
+class RequestEncoder:
+    """Encodes requests and caches the head that the last one shares.
+
+    The sub-requests of a scatter-gather request are sent one after another and
+    differ in their last fields only.
+
+    Args:
+      header_names: Header names used with targets.
+    """
+
+    __slots__ = ("_header_names", "_cached_request", "_cached_head")
+
+    def __init__(self, *, header_names: http_headers.HeaderNames):
+        self._header_names = header_names
+        self._cached_request: exchanges.CallerRequest | None = None
+        self._cached_head = b""
+
+    def encode(self, send: exchanges.TargetRequest, wait_ms: int) -> bytes:
+        """Returns the bytes of a request.
+
+        Args:
+          send: The request and its target.
+          wait_ms: Milliseconds after which the target may stop working on it.
+        """
+        return b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
+            self._encode_shared_head(send.request),
+            self._header_names.deadline_ms,
+            wait_ms,
+            self._header_names.expected_target,
+            send.target.target.encode("latin-1"),
+            send.request.body,
+        )
+
+    def _encode_shared_head(self, request: exchanges.CallerRequest) -> bytes:
+        """Returns the head without the fields that differ by target."""
+        if request is self._cached_request:
+            return self._cached_head
+        dropped = self._list_dropped(request)
+        lines = [b"%s %s HTTP/1.1" % (request.method, request.url)]
+        for name, value in request.headers:
+            if name.lower() not in dropped:
+                lines.append(b"%s: %s" % (name, value))
+        if request.body or request.method in _METHODS_WITH_BODY:
+            lines.append(b"Content-Length: %d" % len(request.body))
+        lines.append(b"")
+        self._cached_head = b"\r\n".join(lines)
+        self._cached_request = request
+        return self._cached_head
+
+    def _list_dropped(self, request: exchanges.CallerRequest) -> set[bytes]:
+        """Returns the names of the fields that are not passed on."""
+        dropped = {
+            self._header_names.deadline_ms,
+            self._header_names.expected_target,
+            b"expect",
+            *server_connections.CONNECTION_FIELDS,
+        }
+        for name, value in request.headers:
+            if name.lower() == b"connection":
+                dropped.update(
+                    field.strip().lower() for field in value.split(b",")
+                )
+        return dropped
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -1,4 +1,4 @@
-"""Sends attempts and health checks to targets over HTTP/1.1.
+"""Sends attempts to targets over HTTP/1.1.
 
 Connections to each target are pooled and reused.
 """
@@ -8,16 +8,15 @@
 
 from bramleyfork.core import verdicts
 from bramleyfork.entry import components
-from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.decisions import answers
+from bramleyfork.entry.transports import _request_encoder
+from bramleyfork.entry.transports import _statements
 from bramleyfork.entry.transports import _target_pools
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
-from bramleyfork.entry.transports import server_connections
 
 _CONNECT_TIMEOUT_S = 1.0
-_PROBE_TIMEOUT_S = 1.0
 # Time for which the report of a lost attempt waits for the check of whether its
 # target ended.
 _END_CHECK_TIMEOUT_S = 0.05
@@ -28,18 +27,17 @@
 _MAX_IDLE_NON_IDEMPOTENT_S = 1.0
 # Interval at which expired idle connections are closed.
 _EXPIRY_CHECK_INTERVAL_S = 1.0
-# Total size of the incomplete responses to attempts, and to health checks. A
-# host has 200 MB, and any number of targets may send bytes without end.
+# Total size of the incomplete responses to attempts. A host has 200 MB, and any
+# number of targets may send bytes without end.
 _MAX_RECEIVING_BYTES = 16 * 1024 * 1024
-_MAX_PROBE_RECEIVING_BYTES = 1024 * 1024
 
 
 @components.register(
     components.TRANSPORTS,
     "target_connections",
-    reads=("sends", "carried_sends", "aborts", "carried_aborts", "probes"),
+    reads=("sends", "carried_sends", "aborts", "carried_aborts"),
     passive_reads=("observations",),
-    writes=("replies", "probe_results", "target_findings"),
+    writes=("replies", "target_findings"),
 )
 class TargetTransport(components.Component):
     """Sends attempts over pooled connections and reads their replies."""
@@ -51,11 +49,9 @@
         "_by_connection",
         "_tasks",
         "_budget",
-        "_probe_budget",
         "_expiry_checked_at",
-        "_cached_request",
-        "_cached_head",
-        "_answer_reader",
+        "_encoder",
+        "_recorder",
     )
 
     def start(self) -> None:
@@ -70,22 +66,22 @@
         self._budget = http_client.ReceiveBudget(
             limit_bytes=_MAX_RECEIVING_BYTES
         )
-        self._probe_budget = http_client.ReceiveBudget(
-            limit_bytes=_MAX_PROBE_RECEIVING_BYTES
-        )
         self._expiry_checked_at = 0.0
-        self._cached_request: exchanges.CallerRequest | None = None
-        self._cached_head = b""
-        self._answer_reader = answers.AnswerReader(
+        self._encoder = _request_encoder.RequestEncoder(
             header_names=self.context.header_names
         )
+        self._recorder = _statements.StatementRecorder(
+            context=self.context,
+            known=self.get_table("observations"),
+            writer=self.get_writer("target_findings"),
+        )
 
     async def open(self) -> None:
         """Stores the running event loop."""
         self._loop = asyncio.get_running_loop()
 
     def step(self, now: float) -> float | None:
-        """Cancels and sends attempts, and starts health checks.
+        """Cancels and sends attempts.
 
         Also closes idle connections that have expired.
 
@@ -104,8 +100,6 @@
             "carried_sends"
         ):
             self._start_attempt(send, now)
-        for probe in self.read_new_records("probes"):
-            self._start_task(self._probe(probe))
         if now >= self._expiry_checked_at + _EXPIRY_CHECK_INTERVAL_S:
             self._expiry_checked_at = now
             self._close_expired(now)
@@ -252,15 +246,7 @@
         self._by_connection[connection] = attempt
         header_names = self.context.header_names
         connection.send(
-            b"%s%s: %d\r\n%s: %s\r\n\r\n%s"
-            % (
-                self._encode_head(send.request),
-                header_names.deadline_ms,
-                wait_ms,
-                header_names.expected_target,
-                send.target.target.encode("latin-1"),
-                send.request.body,
-            ),
+            self._encoder.encode(send, wait_ms),
             is_head=send.request.method == b"HEAD",
             # An idempotent request is repeated at once instead of waiting for
             # its response behind one to an earlier request.
@@ -271,39 +257,6 @@
             ),
         )
 
-    def _encode_head(self, request: exchanges.CallerRequest) -> bytes:
-        """Returns the request head without the fields that differ by target.
-
-        The last head is cached, as the sub-requests of a scatter-gather request
-        are sent one after another.
-        """
-        if request is self._cached_request:
-            return self._cached_head
-        header_names = self.context.header_names
-        dropped = {header_names.deadline_ms, header_names.expected_target}
-        for name, value in request.headers:
-            if name.lower() == b"connection":
-                dropped.update(
-                    field.strip().lower() for field in value.split(b",")
-                )
-        lines = [b"%s %s HTTP/1.1" % (request.method, request.url)]
-        for name, value in request.headers:
-            lower = name.lower()
-            if (
-                lower in server_connections.CONNECTION_FIELDS
-                or lower in dropped
-            ):
-                continue
-            if lower == b"expect":
-                continue
-            lines.append(b"%s: %s" % (name, value))
-        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
-            lines.append(b"Content-Length: %d" % len(request.body))
-        lines.append(b"")
-        self._cached_head = b"\r\n".join(lines)
-        self._cached_request = request
-        return self._cached_head
-
     def _abort(self, number: int) -> None:
         attempt = self._attempts.pop(number, None)
         if attempt is None:
@@ -344,7 +297,7 @@
         now = self._loop.time()
         # Status 421 is an answer of another target.
         if not reply.fault and reply.status != 421:
-            statements = self._record_statements(
+            statements = self._recorder.record(
                 attempt.send.target, response, now
             )
             if answers.is_stopping(statements):
@@ -354,35 +307,6 @@
         elif connection.reusable_until > now:
             self._assign_or_release(attempt.pool, connection, now)
 
-    def _record_statements(
-        self,
-        target: declarations.ListedTarget,
-        response: http_client.HttpResponse,
-        now: float,
-        *,
-        is_health_check: bool = False,
-    ) -> answers.Statements:
-        """Writes what a target says about itself to "target_findings".
-
-        Returns:
-          Its statements by kind.
-        """
-        statements = self._answer_reader.read(response.headers, response.status)
-        known = self.get_table("observations")
-        if not statements and not len(known):
-            return statements
-        self.get_writer("target_findings").extend(
-            answers.build_findings(
-                target,
-                statements,
-                lambda kind, subject: known.get((kind, subject)),
-                host=self.context.settings.host,
-                now=now,
-                is_health_check=is_health_check,
-            )
-        )
-        return statements
-
     def _check_loss(
         self,
         attempt: _target_pools.Attempt,
@@ -427,49 +351,7 @@
             )
         )
 
-    # Health checks and maintenance of connections.
-
-    async def _probe(self, probe: exchanges.Probe) -> None:
-        done = self._loop.create_future()
-
-        def handle_response(connection, response, fault):
-            del connection, fault
-            if not done.done():
-                done.set_result(response)
-
-        response = None
-        transport = None
-        try:
-            async with asyncio.timeout(_PROBE_TIMEOUT_S):
-                transport, connection = await self._loop.create_connection(
-                    lambda: http_client.ClientConnection(
-                        loop=self._loop,
-                        on_response=handle_response,
-                        on_closed=lambda _: None,
-                        budget=self._probe_budget,
-                    ),
-                    *probe.target.address,
-                )
-                connection.send(
-                    b"GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n"
-                    % (
-                        probe.path.encode("latin-1"),
-                        "{}:{}".format(*probe.target.address).encode("ascii"),
-                    )
-                )
-                response = await done
-        except (OSError, TimeoutError):
-            self.context.metrics.count("probes_failed")
-        if transport is not None:
-            transport.abort()
-        result = _target_replies.build_probe_result(
-            probe, response, self.context.header_names
-        )
-        if result.is_healthy:
-            self._record_statements(
-                probe.target, response, self._loop.time(), is_health_check=True
-            )
-        self.get_writer("probe_results").append(result)
+    # Maintenance of connections.
 
     def _close_expired(self, now: float) -> None:
         for address, pool in list(self._pools.items()):
