Decide on arriving requests in checks that a registry holds

The controller of exchanges had grown to 590 lines, a third of it reasons to refuse a request when it arrives. Each reason is now a check in _arrival_checks.py, registered by a decorator and run in a fixed order, and a refusal is a record in place of keyword arguments.

--- a/src/bramleyfork/entry/controllers/_refusals.py
+++ b/src/bramleyfork/entry/controllers/_refusals.py
@@ -22,6 +22,69 @@
 FEED_RETRY_AFTER_S = 2.0
 
 
+class Refusal:
+    """Why a request is refused, and what its caller is told.
+
+    Attributes:
+      reason: Reason code for logs and metrics.
+      status: HTTP status of the response.
+      route: The route of the request; None if none was found.
+      without_target: Services that have no usable target.
+      overload: Load estimates, if the request is refused for overload.
+      fingerprint: Fingerprint of the request, if it is why it is refused.
+      retry_after_s: Seconds after which the caller should retry; None to derive
+        them from the reason.
+      verdict: Whether the request may have run.
+    """
+
+    __slots__ = (
+        "reason",
+        "status",
+        "route",
+        "without_target",
+        "overload",
+        "fingerprint",
+        "retry_after_s",
+        "verdict",
+    )
+
+    def __init__(
+        self,
+        *,
+        reason: str,
+        status: int,
+        route: declarations.Route | None = None,
+        without_target: collections.abc.Sequence[str] = (),
+        overload: _admission.OverloadReport | None = None,
+        fingerprint: str = "",
+        retry_after_s: float | None = None,
+        verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+    ):
+        self.reason = reason
+        self.status = status
+        self.route = route
+        self.without_target = without_target
+        self.overload = overload
+        self.fingerprint = fingerprint
+        self.retry_after_s = retry_after_s
+        self.verdict = verdict
+
+    def build_log_fields(self) -> dict[str, typing.Any]:
+        """Returns the fields for the log line of the refusal."""
+        fields = {
+            "route": self.route.name if self.route else None,
+            "reason": self.reason,
+            "status": self.status,
+            "without_target": self.without_target,
+            "verdict": self.verdict.value,
+        }
+        if self.fingerprint:
+            fields["fingerprint"] = self.fingerprint
+        if self.overload is not None:
+            fields |= self.overload.build_log_fields()
+        return fields
+
+
 class Refusals:
     """Writes refusals, logs them and counts them by reason.
 
@@ -45,60 +108,35 @@
         self._metrics = counters
 
     def refuse(
-        self,
-        request: exchanges.CallerRequest,
-        reason: str,
-        status: int,
-        now: float,
-        *,
-        route: declarations.Route | None = None,
-        without_target: collections.abc.Sequence[str] = (),
-        overload: _admission.OverloadReport | None = None,
-        fingerprint: str = "",
-        retry_after_s: float | None = None,
-        verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+        self, request: exchanges.CallerRequest, refusal: Refusal, now: float
     ) -> None:
         """Responds to a request with an error status.
 
         Args:
           request: The caller's request.
-          reason: Reason code for logs and metrics.
-          status: HTTP status of the response.
+          refusal: Why it is refused.
           now: Monotonic time in seconds.
-          route: The route of the request; None if none was found.
-          without_target: Services that have no usable target.
-          overload: Load estimates, if the request is refused for overload.
-          fingerprint: Fingerprint of the request, if it is why it is refused.
-          retry_after_s: Seconds after which the caller should retry; None to
-            derive them from the reason.
-          verdict: Whether the request may have run.
         """
         feed = self._feed_state.get("current")
+        retry_after_s = refusal.retry_after_s
         if retry_after_s is None:
-            retry_after_s = choose_retry_after(reason, feed)
-        if overload is not None:
-            retry_after_s = overload.retry_after_s
+            retry_after_s = choose_retry_after(refusal.reason, feed)
         self._writer.append(
             exchanges.Response(
                 key=request.key,
-                status=status,
-                headers=build_headers(status, retry_after_s),
+                status=refusal.status,
+                headers=build_headers(refusal.status, retry_after_s),
             )
         )
-        self._metrics.count("requests_refused", reason)
-        fields = {
-            "request": request.request_id.decode("latin-1"),
-            "route": route.name if route else None,
-            "reason": reason,
-            "status": status,
-            "without_target": without_target,
-            "verdict": verdict.value,
-        }
-        if fingerprint:
-            fields["fingerprint"] = fingerprint
-        if overload is not None:
-            fields |= overload.build_log_fields()
-        _LOG.info("request refused", extra=fields | _describe_feed(feed, now))
+        self._metrics.count("requests_refused", refusal.reason)
+        _LOG.info(
+            "request refused",
+            extra={
+                "request": request.request_id.decode("latin-1"),
+                **refusal.build_log_fields(),
+                **_describe_feed(feed, now),
+            },
+        )
 
 
 def build_headers(
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -12,6 +12,7 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import _admission
+from bramleyfork.entry.controllers import _arrival_checks
 from bramleyfork.entry.controllers import _carrier_selector
 from bramleyfork.entry.controllers import _connection_limits
 from bramleyfork.entry.controllers import _dispatcher
@@ -23,7 +24,6 @@
 from bramleyfork.entry.controllers import _target_selector
 from bramleyfork.entry.decisions import gathers
 from bramleyfork.entry.decisions import matching
-from bramleyfork.entry.decisions import quarantine
 from bramleyfork.entry.decisions import switching
 
 _LOG = logging.getLogger("bramleyfork.decisions")
@@ -81,7 +81,7 @@
         "_admission",
         "_refusals",
         "_random",
-        "_answer_by",
+        "_arrival_checks",
         "_now",
     )
 
@@ -131,7 +131,11 @@
         self._exchange_builder = _exchange_builder.ExchangeBuilder(
             route_latencies=self._dispatcher.route_latencies, rng=self._random
         )
-        self._answer_by: float | None = None
+        self._arrival_checks = _arrival_checks.ArrivalChecks(
+            target_selector=self._dispatcher.target_selector,
+            request_quarantine=self._dispatcher.quarantine,
+            admission=self._admission,
+        )
         self._now = 0.0
 
     def step(self, now: float) -> float | None:
@@ -167,14 +171,15 @@
     def _apply_phase(self) -> None:
         """Bounds the deadlines of all requests once the process will stop."""
         phase = self.get_table("lifecycle").get("current")
-        if phase is None or phase.answer_by == self._answer_by:
+        checks = self._arrival_checks
+        if phase is None or phase.answer_by == checks.answer_by:
             return
-        self._answer_by = phase.answer_by
+        checks.answer_by = phase.answer_by
         for exchange in self._in_flight.values():
-            if exchange.deadline_at > self._answer_by:
-                exchange.deadline_at = self._answer_by
+            if exchange.deadline_at > phase.answer_by:
+                exchange.deadline_at = phase.answer_by
                 self._dispatcher.timers.schedule(
-                    self._answer_by, "deadline", exchange
+                    phase.answer_by, "deadline", exchange
                 )
 
     def _contain(
@@ -203,13 +208,12 @@
         if exchange is not None:
             exchange.is_done = True
             self._close(exchange)
-        self._refusals.refuse(
-            request,
-            "internal_error",
-            500,
-            self._now,
+        refusal = _refusals.Refusal(
+            reason="internal_error",
+            status=500,
             verdict=verdicts.Verdict.MAY_HAVE_RUN,
         )
+        self._refusals.refuse(request, refusal, self._now)
 
     # New requests.
 
@@ -227,91 +231,24 @@
             self._refuse(request, "no_route", 404)
             return
         exchange = self._exchange_builder.build(request, route, table)
-        target_selector = self._dispatcher.target_selector
         for shard in exchange.shards:
-            target_selector.record_request(shard.service, self._now)
-        missing = target_selector.list_without_target(exchange)
-        if len(exchange.shards) - len(missing) < exchange.min_shards:
-            self._refuse(
-                request, "no_targets", 503, route=route, without_target=missing
-            )
-            return
-        if exchange.deadline_at <= self._now:
-            self._refuse(request, "deadline_past", 504, route=route)
-            return
-        if self._answer_by is not None:
-            if self._now + route.aim_s > self._answer_by:
-                self._refuse(request, "stopping", 503, route=route)
-                return
-            exchange.deadline_at = min(exchange.deadline_at, self._answer_by)
-        if self._refuse_quarantined(exchange) or self._refuse_limited(
-            exchange, len(missing)
-        ):
-            return
-        self._admission.record_arrival(exchange, self._now)
-        overload = self._admission.check_overload(exchange, self._now)
-        if overload is not None:
-            self._refuse(
-                request, "overloaded", 503, route=route, overload=overload
+            self._dispatcher.target_selector.record_request(
+                shard.service, self._now
             )
+        refusal = self._arrival_checks.find_refusal(exchange, self._now)
+        if refusal is not None:
+            self._refusals.refuse(request, refusal, self._now)
             return
+        answer_by = self._arrival_checks.answer_by
+        if answer_by is not None:
+            exchange.deadline_at = min(exchange.deadline_at, answer_by)
         self._send(exchange)
 
-    def _refuse_quarantined(self, exchange: _exchange.Exchange) -> bool:
-        """Refuses a request that crashes targets, or may while it is tried."""
-        found = self._dispatcher.quarantine
-        ruling = found.find_ruling(exchange, self._now)
-        if ruling is quarantine.Ruling.REFUSED:
-            self._refuse(
-                exchange.request,
-                "quarantined",
-                503,
-                route=exchange.route,
-                fingerprint=exchange.fingerprint,
-                retry_after_s=found.find_retry_delay(exchange, self._now),
-            )
-            return True
-        if ruling is quarantine.Ruling.HELD:
-            self._refuse(
-                exchange.request,
-                "held",
-                503,
-                route=exchange.route,
-                fingerprint=exchange.fingerprint,
-            )
-            return True
-        return False
-
-    def _refuse_limited(
-        self, exchange: _exchange.Exchange, missing_count: int
-    ) -> bool:
-        """Refuses a request if too many shards wait for limits of targets."""
-        target_selector = self._dispatcher.target_selector
-        limited = target_selector.list_limited(exchange, self._now)
-        sendable = len(exchange.shards) - missing_count - len(limited)
-        needed = exchange.min_shards - sendable
-        if not limited or needed <= 0:
-            return False
-        limited.sort(key=lambda found: found[0])
-        _, target = limited[min(needed, len(limited)) - 1]
-        delay_s = target_selector.pacing.promise_slot(target, self._now)
-        self._refuse(
-            exchange.request,
-            "limited",
-            503,
-            route=exchange.route,
-            retry_after_s=max(_refusals.RETRY_AFTER_S, delay_s),
-        )
-        return True
-
     def _refuse(
-        self,
-        request: exchanges.CallerRequest,
-        reason: str,
-        status: int,
-        **details,
+        self, request: exchanges.CallerRequest, reason: str, status: int
     ) -> None:
-        self._refusals.refuse(request, reason, status, self._now, **details)
+        refusal = _refusals.Refusal(reason=reason, status=status)
+        self._refusals.refuse(request, refusal, self._now)
 
     def _send(self, exchange: _exchange.Exchange) -> None:
         self._in_flight[exchange.request.key] = exchange
