--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -9,7 +9,6 @@
 from bramleyfork.core import verdicts
 from bramleyfork.entry import carrier_records
 from bramleyfork.entry import components
-from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import _admission
 from bramleyfork.entry.controllers import _arrival_checks
@@ -21,6 +20,7 @@
 from bramleyfork.entry.controllers import _outcomes
 from bramleyfork.entry.controllers import _quarantine
 from bramleyfork.entry.controllers import _refusals
+from bramleyfork.entry.controllers import _replies
 from bramleyfork.entry.controllers import _target_selector
 from bramleyfork.entry.decisions import gathers
 from bramleyfork.entry.decisions import matching
@@ -28,12 +28,6 @@
 
 _LOG = logging.getLogger("bramleyfork.decisions")
 
-# Size up to which a shard's reply is kept as it is until the answer is merged.
-_MAX_KEPT_PART_BYTES = 64 * 1024
-
-# Faults of attempts that ended without a byte of a reply.
-_FAULTS_WITHOUT_REPLY = frozenset(("lost", "ended"))
-
 # Sections that the dispatcher writes.
 _DISPATCHER_SECTIONS = ("sends", "via_sends", "aborts", "target_faults")
 
@@ -82,6 +76,7 @@
         "_refusals",
         "_random",
         "_arrival_checks",
+        "_reply_handler",
         "_now",
     )
 
@@ -136,6 +131,11 @@
             request_quarantine=self._dispatcher.quarantine,
             admission=self._admission,
         )
+        self._reply_handler = _replies.ReplyHandler(
+            dispatcher=self._dispatcher,
+            fault_writer=self.get_writer("target_faults"),
+            counters=self.context.metrics,
+        )
         self._now = 0.0
 
     def step(self, now: float) -> float | None:
@@ -267,135 +267,14 @@
     # Replies.
 
     def _handle_reply(self, reply: exchanges.Reply) -> None:
-        attempt = self._dispatcher.attempts.pop(reply.attempt, None)
-        if attempt is None:
-            return
-        exchange, shard = attempt.exchange, attempt.shard
-        shard.attempts.remove(attempt)
-        shard.verdicts.append(reply.verdict)
-        is_good = not reply.fault and 200 <= reply.status < 300
-        if _outcomes.is_undelivered(reply):
-            shard.delivered_attempts -= 1
-        if reply.fault == "carrier":
-            self._dispatcher.carriers.start_cooldown(
-                attempt.carrier_address, self._now
-            )
-        self._dispatcher.quarantine.record_reply(attempt, reply, self._now)
-        fault = self._dispatcher.target_selector.record_reply(
-            attempt, reply, self._now
-        )
-        if fault is not None:
-            self.get_writer("target_faults").append(fault)
-        if is_good and shard.reply is None:
-            exchange.set_reply(shard, _limit_part(exchange.route, reply))
-            self._record_latency(attempt)
-            self._dispatcher.abort_attempts(shard)
+        exchange = self._reply_handler.handle(reply, self._now)
+        if exchange is not None:
             self._review(exchange)
-            return
-        self._record_failure(exchange, shard, attempt, reply)
-        if not shard.attempts:
-            self._retry(exchange, shard)
-        self._review(exchange)
 
     def _handle_merged(self, merged: carrier_records.MergedReply) -> None:
-        """Handles the replies of some shards that a carrier has merged.
-
-        Merged records can't be separated again, so this reply replaces that of
-        a shard which has meanwhile replied directly.
-        """
-        self._dispatcher.carriers.record_reply(merged.carrier_address)
         exchange = self._in_flight.get(merged.key)
-        if exchange is None:
-            return
-        if not all(
-            number in exchange.shards_by_carrier_attempt
-            for number, _ in merged.parts
-        ):
-            _LOG.warning(
-                "carrier reply discarded: it contains unknown attempts",
-                extra={"via": merged.carrier_address},
-            )
-            return
-        exchange.merged_bodies.append(merged.body)
-        for number, stamp in merged.parts:
-            shard = exchange.shards_by_carrier_attempt[number]
-            reply = exchanges.Reply(
-                attempt=number,
-                verdict=verdicts.Verdict.RAN,
-                status=200,
-                stamp=stamp,
-            )
-            attempt = self._dispatcher.attempts.pop(number, None)
-            if attempt is not None:
-                shard.attempts.remove(attempt)
-                self._dispatcher.quarantine.record_reply(
-                    attempt, reply, self._now
-                )
-                self._dispatcher.target_selector.record_reply(
-                    attempt, reply, self._now
-                )
-                self._record_latency(attempt)
-            exchange.set_reply(shard, reply)
-            shard.verdicts.append(reply.verdict)
-            self._dispatcher.abort_attempts(shard)
-        self._review(exchange)
-
-    def _record_latency(self, attempt: _exchange.Attempt) -> None:
-        distance = self._dispatcher.target_selector.find_distance(
-            attempt.target
-        )
-        route_latencies = self._dispatcher.route_latencies.find(
-            attempt.exchange.route
-        )
-        route_latencies.latencies_by_distance[distance].record(
-            self._now - attempt.sent_at
-        )
-
-    def _record_failure(
-        self,
-        exchange: _exchange.Exchange,
-        shard: _exchange.Shard,
-        attempt: _exchange.Attempt,
-        reply: exchanges.Reply,
-    ) -> None:
-        fault = reply.fault or f"status_{reply.status}"
-        exchange.faults[fault] = exchange.faults.get(fault, 0) + 1
-        shard.fault = fault
-        if not reply.fault:
-            shard.failure = reply
-        self.context.metrics.count("attempts_failed", fault)
-        fields = {
-            "request": exchange.request.request_id.decode("latin-1"),
-            "service": shard.service,
-            "target": attempt.target.target,
-            "fault": fault,
-            "verdict": reply.verdict.value,
-            "after_ms": round((self._now - attempt.sent_at) * 1000, 1),
-        }
-        if fault in _FAULTS_WITHOUT_REPLY:
-            fields["fingerprint"] = exchange.find_fingerprint()
-        _LOG.info("attempt failed", extra=fields)
-
-    def _retry(
-        self,
-        exchange: _exchange.Exchange,
-        shard: _exchange.Shard,
-    ) -> None:
-        if not _dispatcher.may_retry(
-            exchange.route, shard
-        ) or self._dispatcher.quarantine.is_refused(exchange, self._now):
-            exchange.give_up(shard)
-            return
-        exchange.retries += 1
-        # Another target is tried at once, the same one after a delay.
-        has_another_target = (
-            self._dispatcher.target_selector.has_untried_target(
-                exchange.route, shard, self._now
-            )
-        )
-        if has_another_target and self._dispatcher.send_extra(exchange, shard):
-            return
-        self._dispatcher.schedule_retry(exchange, shard)
+        if self._reply_handler.handle_merged(merged, exchange, self._now):
+            self._review(exchange)
 
     # Timers.
 
@@ -503,17 +382,3 @@
         self._admission.record_completion(exchange)
         for shard in exchange.shards:
             self._dispatcher.abort_attempts(shard)
-
-
-def _limit_part(
-    route: declarations.Route, reply: exchanges.Reply
-) -> exchanges.Reply:
-    """Returns the reply of a shard without records that can't be returned.
-
-    Replies are kept until the answer is merged, so large ones would add up.
-    """
-    if not route.shards or len(reply.body) <= _MAX_KEPT_PART_BYTES:
-        return reply
-    return reply.replace(
-        body=gathers.merge_records([reply.body], route.record_limit)
-    )
