End a limit only by the answer to a later request

A soak with replicas that name limits saw them end and begin again several times within their life, and 32 requests of 14 allowed in 4 s at one of them: a health check, or the answer to a request that was sent before the limit was observed, doesn't name it, and each of these ended the limit at all hosts until the next answer.

An answer now ends a limit only if its request was sent after the limit was observed, and a health check never does.

--- a/src/bramleyfork/entry/decisions/answers.py
+++ b/src/bramleyfork/entry/decisions/answers.py
@@ -14,6 +14,8 @@
 _REPEAT_INTERVAL_S = 5.0
 # A pause is observed again if it ends this much later than the one known.
 _PAUSE_RESOLUTION_S = 0.02
+# The ages of observations of other hosts are short by the time of their way.
+_AGE_TOLERANCE_S = 0.1
 _SERVICE_UNAVAILABLE = 503
 # Statements after which attempts that wait for a connection are not sent.
 _STOPPING_KINDS = frozenset((kinds.LEAVING, kinds.PAUSE))
@@ -124,11 +126,15 @@
     known: collections.abc.Callable[[str, str], kinds.Known | None],
     *,
     host: str,
+    sent_at: float,
     now: float,
     is_health_check: bool = False,
 ) -> list[observations.Finding]:
     """Returns what an answer of a target adds to what is known of it.
 
+    A limit ends with an answer that doesn't name it, if its request was sent
+    after the limit was observed. Health checks need not name it.
+
     A target that leaves doesn't come back, but another process may start under
     its id. If its start isn't listed, a health check shows it.
 
@@ -137,14 +143,19 @@
       statements: Its statements by kind.
       known: Returns the observations of a kind and subject.
       host: Name of this host.
+      sent_at: Monotonic time in seconds at which the request was sent.
       now: Monotonic time in seconds.
       is_health_check: Whether it is the answer to a health check, by which the
         target is healthy.
     """
     found = dict(statements)
-    # A limit ends with the first answer that doesn't name it.
-    is_limited = known(kinds.RATE_LIMIT, target.target) is not None
-    if is_limited:
+    limit = kinds.find_latest(
+        known(kinds.RATE_LIMIT, target.target), target.born_ms, now
+    )
+    is_later = (
+        limit is not None and sent_at > limit.observed_at + _AGE_TOLERANCE_S
+    )
+    if is_later and not is_health_check:
         found.setdefault(
             kinds.RATE_LIMIT,
             Statement(kind=kinds.RATE_LIMIT, value=kinds.NO_LIMIT),
--- a/src/bramleyfork/entry/transports/_statements.py
+++ b/src/bramleyfork/entry/transports/_statements.py
@@ -36,8 +36,9 @@
         self,
         target: declarations.ListedTarget,
         response: http_client.HttpResponse,
-        now: float,
         *,
+        sent_at: float,
+        now: float,
         is_health_check: bool = False,
     ) -> answers.Statements:
         """Writes findings and returns the statements of an answer by kind.
@@ -45,6 +46,7 @@
         Args:
           target: The target that sent the answer.
           response: The answer.
+          sent_at: Monotonic time in seconds at which its request was sent.
           now: Monotonic time in seconds.
           is_health_check: Whether it answers a health check, by which the
             target is healthy.
@@ -58,6 +60,7 @@
                 statements,
                 lambda kind, subject: self._known.get((kind, subject)),
                 host=self._host,
+                sent_at=sent_at,
                 now=now,
                 is_health_check=is_health_check,
             )
--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -16,14 +16,16 @@
       send: The request and its target.
       pool: The connections to the target.
       connection: The connection it was sent on; None while it is queued.
+      sent_at: Monotonic time at which it was sent; 0 while it is queued.
     """
 
-    __slots__ = ("send", "pool", "connection")
+    __slots__ = ("send", "pool", "connection", "sent_at")
 
     def __init__(self, *, send: exchanges.TargetRequest, pool: "Pool"):
         self.send = send
         self.pool = pool
         self.connection: http_client.ClientConnection | None = None
+        self.sent_at = 0.0
 
 
 class Pool:
--- a/src/bramleyfork/entry/transports/health_checks.py
+++ b/src/bramleyfork/entry/transports/health_checks.py
@@ -57,8 +57,13 @@
             probe, response, self.context.header_names
         )
         if result.is_healthy:
+            now = self._loop.time()
             self._recorder.record(
-                probe.target, response, self._loop.time(), is_health_check=True
+                probe.target,
+                response,
+                sent_at=now,
+                now=now,
+                is_health_check=True,
             )
         self.get_writer("probe_results").append(result)
 
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -243,6 +243,7 @@
             self._assign_or_release(pool, connection, now)
             return
         attempt.connection = connection
+        attempt.sent_at = now
         self._by_connection[connection] = attempt
         header_names = self.context.header_names
         connection.send(
@@ -298,7 +299,10 @@
         # Status 421 is an answer of another target.
         if not reply.fault and reply.status != 421:
             statements = self._recorder.record(
-                attempt.send.target, response, now
+                attempt.send.target,
+                response,
+                sent_at=attempt.sent_at,
+                now=now,
             )
             if answers.is_stopping(statements):
                 self._fail_waiting(attempt.pool, "not_usable")
--- a/tests/entry/decisions/test_entry_answers.py
+++ b/tests/entry/decisions/test_entry_answers.py
@@ -26,7 +26,7 @@
     return observation_creators.create_observation(**(fields | changes))
 
 
-def build(statements, *known):
+def build(statements, *known, sent_at=NOW, **changes):
     by_key = {}
     for observation in known:
         key = kinds.get_key(observation)
@@ -36,7 +36,9 @@
         statements,
         lambda kind, subject: by_key.get((kind, subject)),
         host="host-1",
+        sent_at=sent_at,
         now=NOW,
+        **changes,
     )
 
 
@@ -83,12 +85,22 @@
 
 def test_a_limit_ends_with_an_answer_without_it():
     # Guards against limits that stay in force after the target is well again.
-    (finding,) = build({}, create_limit(host="host-2"))
+    (finding,) = build({}, create_limit(host="host-2", age_s=1.0))
     assert finding.value == kinds.NO_LIMIT
-    assert build({}, create_limit(kinds.NO_LIMIT, host="host-2")) == []
+    ended = create_limit(kinds.NO_LIMIT, host="host-2", age_s=1.0)
+    assert build({}, ended) == []
     assert build({}) == []
 
 
+@pytest.mark.parametrize(
+    "changes", [{"sent_at": NOW - 1.0}, {"is_health_check": True}]
+)
+def test_an_answer_that_says_nothing_of_now_does_not_end_a_limit(changes):
+    # Guards against a limit that ends with the answer to an earlier request, or
+    # with a health check, and begins again with the next answer.
+    assert build({}, create_limit(age_s=0.5), **changes) == []
+
+
 def test_a_limit_of_an_earlier_process_does_not_hold():
     assert build_limit(9.5, create_limit(born_ms=6))
     assert kinds.find_latest((create_limit(born_ms=6),), 7, NOW) is None
@@ -126,6 +138,7 @@
         {},
         lambda kind, _: known if kind == kinds.LEAVING else None,
         host="host-1",
+        sent_at=NOW,
         now=NOW,
         is_health_check=is_health_check,
     )
--- a/tests/entry/fleets.py
+++ b/tests/entry/fleets.py
@@ -285,9 +285,10 @@
         if send.request.path == self._crashing_path:
             self.end_target(send.target.target)
             return
+        sent_at = self.now
         self._schedule(
             _REPLY_S * self.random.uniform(0.5, 2.0),
-            lambda: self._complete(host.name, send, run),
+            lambda: self._complete(host.name, send, run, sent_at),
         )
 
     def _avoid(self, host, target):
@@ -308,16 +309,16 @@
         publish()
         self._schedule(_TARGET_DOWN_S, publish)
 
-    def _complete(self, host, send, run):
+    def _complete(self, host, send, run, sent_at):
         target = self.targets[send.target.target]
         if target.running.get((host, send.attempt)) != run:
             return
         del target.running[host, send.attempt]
-        self._tell_statements(self.hosts[host], target)
+        self._tell_statements(self.hosts[host], target, sent_at)
         reply = creators.create_reply(send.attempt)
         self._answer_later(host, send.attempt, 0.0, reply)
 
-    def _tell_statements(self, host, target):
+    def _tell_statements(self, host, target, sent_at):
         statements = {}
         if target.limit_per_s is not None:
             statements[kinds.RATE_LIMIT] = answers.Statement(
@@ -331,6 +332,7 @@
                 statements,
                 lambda kind, subject: known.get((kind, subject)),
                 host=host.name,
+                sent_at=sent_at,
                 now=self.now,
             ),
         )
