--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -30,6 +30,7 @@
 _PORTS = {"front": 8104, "ready": 8108, "control": 8106, "directory": 8100}
 _WARMUP_S = 1.5
 _HEARTBEAT_S = 1.2
+_CRASH_DOWN_S = 0.5
 
 
 def build_records(service: str, request_id: str) -> list[bytes]:
@@ -57,8 +58,16 @@
         evacuation; None while it may be used.
     """
 
-    def __init__(self, *, name: str, service: str, zone: str):
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        zone: str,
+        crashes: "dict[str, CrashingPath]",
+    ):
         super().__init__(name=name, service_time_s=0.004)
+        self._crashes = crashes
         self.service = service
         self.zone = zone
         self.run_log: list[tuple[float, str, str]] = []
@@ -78,10 +87,38 @@
         if request.target != "/health" and expected == self.name:
             request_id = request.headers.get("x-request-id", "")
             self.run_log.append((time.monotonic(), request.method, request_id))
+        crash = self._crashes.get(request.target)
+        if crash is not None:
+            crash.arrivals.append((time.monotonic(), request_id))
+            asyncio.get_running_loop().create_task(self._restart())
+            await asyncio.sleep(_CRASH_DOWN_S)
         left = max(0.0, self.cold_until - time.monotonic())
         self.warmup_ms = int(left * 1000)
         return await super()._answer(request)
 
+    async def _restart(self) -> None:
+        """Ends the replica and starts it again at the same port."""
+        port = self.address[1]
+        await self.close()
+        await asyncio.sleep(_CRASH_DOWN_S)
+        try:
+            await self.open(port)
+        except OSError:
+            # A connection took the port meanwhile; the replica stays down.
+            return
+
+
+class CrashingPath:
+    """A path whose requests end each replica that begins them.
+
+    Attributes:
+      arrivals: Monotonic time and request id of each of these requests that
+        reached a replica, which ended then.
+    """
+
+    def __init__(self):
+        self.arrivals: list[tuple[float, str]] = []
+
 
 class Host:
     """One host process and its proxy to the store."""
@@ -125,6 +162,8 @@
         self.replica_proxies: dict[str, proxies.Proxy] = {}
         self.all_replicas: list[SoakReplica] = []
         self.hosts: list[Host] = []
+        self.crashes: dict[str, CrashingPath] = {}
+        self.extra_ids: set[str] = set()
         self.store_fault_times: list[float] = []
         self._net = net
         self._last_number = 0
@@ -181,7 +220,9 @@
         """
         self._last_number += 1
         name = f"i-{self._last_number:03}"
-        replica = SoakReplica(name=name, service=service, zone=zone)
+        replica = SoakReplica(
+            name=name, service=service, zone=zone, crashes=self.crashes
+        )
         if is_cold:
             replica.cold_until = time.monotonic() + _WARMUP_S
         await replica.open()
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -16,6 +16,7 @@
 
 _RESTART_S = 0.3
 _DRAIN_S = 3.2
+_CRASHING_REPEATS = 24  # Requests within about 6 s.
 
 
 async def _restart(
@@ -228,3 +229,40 @@
     for replica in taken:
         replica.closed_at = None
     environment.store.remove(f"op/evacuate/{zone}")
+
+
+@FAULTS.register("crashing_request")
+async def repeat_crashing_request(
+    environment: environments.SoakEnvironment,
+) -> None:
+    """Sends a request again and again that ends each replica it reaches."""
+    prefix = environment.random.choice(
+        [environments.GATHER_PATH, environments.SEAT_PATH]
+    )
+    path = f"{prefix}crash-{len(environment.crashes)}"
+    environment.crashes[path] = environments.CrashingPath()
+    for number in range(_CRASHING_REPEATS):
+        host = environment.random.choice(environment.hosts)
+        # The checks learn from the id which host the caller asked.
+        request_id = f"{path[1:].replace('/', '-')}-{number}-{host.number}"
+        environment.extra_ids.add(request_id)
+        await _send(host, path, request_id)
+        await asyncio.sleep(environment.random.uniform(0.1, 0.4))
+
+
+async def _send(host: environments.Host, path: str, request_id: str) -> None:
+    """Sends a request and waits for the head of its answer, if one comes."""
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(host.ip, 8104)
+            try:
+                writer.write(
+                    f"GET {path} HTTP/1.1\r\nHost: {environments.HOST_NAME}\r\n"
+                    f"X-Request-Id: {request_id}\r\n"
+                    "X-Deadline-Ms: 800\r\n\r\n".encode()
+                )
+                await reader.readline()
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError):
+        return  # The host may be down.
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -20,6 +20,7 @@
     (11, ()),
     (12, ("kill", "terminate", "pause")),
     (13, ("crash_replica", "drain_replica", "reshard")),
+    (14, ("crashing_request", "kill")),
 )
 
 
