Play replicas that name limits in the soak

A fault lets a replica name a limit for 5 to 9 s; a check counts the requests of any 4 s from 4 s after its begin, unless a host had a fault meanwhile.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -27,6 +27,10 @@
 # _FAULT_MARGIN_S after the third, as documented for the platform.
 _FREE_CRASHES = 3
 _LATE_CRASHES = 3
+# A limit that a replica names, as documented for the platform.
+_LIMIT_TOLERANCE = 1.5
+_LIMIT_SLACK = 5
+_LIMIT_WINDOW_S = 4.0
 _COLD_LIMIT = 5  # Requests per second that a cold replica may get.
 
 
@@ -200,6 +204,33 @@
     return any(at - _FAULT_MARGIN_S < time < at for time in host.fault_times)
 
 
+@CHECKS.register("a named limit is kept")
+def check_limits(environment, calls):
+    """Yields limits of replicas that were exceeded in some 4 s.
+
+    Limits beside faults of hosts don't count, as a new process knows none.
+    """
+    del calls
+    fault_times = [at for host in environment.hosts for at in host.fault_times]
+    for replica in environment.all_replicas:
+        for begin, end, limit_per_s in replica.limits:
+            since = begin + _FAULT_MARGIN_S
+            if any(begin - 1.0 < at < end for at in fault_times):
+                continue
+            times = [at for at, _, _ in replica.run_log if since <= at < end]
+            allowed = _LIMIT_TOLERANCE * limit_per_s * _LIMIT_WINDOW_S
+            allowed += _LIMIT_SLACK
+            most = max(
+                (
+                    sum(first <= at < first + _LIMIT_WINDOW_S for at in times)
+                    for first in times
+                ),
+                default=0,
+            )
+            if most > allowed:
+                yield f"{replica.name}: {most} requests, {allowed} allowed"
+
+
 @CHECKS.register("service comes back")
 def check_recovery(environment, calls):
     """Yields an error if over 10 % of the last calls are not answered.
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -56,6 +56,7 @@
       cold_until: Monotonic time until which it is cold.
       closed_at: Monotonic time at which the store accepted its drain or
         evacuation; None while it may be used.
+      limits: Begin, end and requests per second of each limit that it named.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         crashes: "dict[str, CrashingPath]",
     ):
         super().__init__(name=name, service_time_s=0.004)
+        self.limits: list[tuple[float, float, float]] = []
         self._crashes = crashes
         self.service = service
         self.zone = zone
@@ -94,7 +96,13 @@
             await asyncio.sleep(_CRASH_DOWN_S)
         left = max(0.0, self.cold_until - time.monotonic())
         self.warmup_ms = int(left * 1000)
-        return await super()._answer(request)
+        reply = await super()._answer(request)
+        if reply is not None and self.limits and request.target != "/health":
+            begin, end, limit_per_s = self.limits[-1]
+            if begin <= time.monotonic() < end:
+                named = ("Server-Limit", str(limit_per_s))
+                reply.headers = (*reply.headers, named)
+        return reply
 
     async def _restart(self) -> None:
         """Ends the replica and starts it again at the same port."""
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -266,3 +266,16 @@
                 writer.transport.abort()
     except (OSError, TimeoutError):
         return  # The host may be down.
+
+
+@FAULTS.register("limit")
+async def name_limit(environment: environments.SoakEnvironment) -> None:
+    """Lets a replica name a limit of requests per second for up to 9 s."""
+    replica = environment.random.choice(list(environment.replicas.values()))
+    length_s = environment.random.uniform(5.0, 9.0)
+    begin = time.monotonic()
+    if replica.limits and replica.limits[-1][1] > begin - 1.0:
+        return
+    limit_per_s = round(environment.random.uniform(1.0, 10.0), 1)
+    replica.limits.append((begin, begin + length_s, limit_per_s))
+    await asyncio.sleep(length_s)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,7 @@
     (12, ("kill", "terminate", "pause")),
     (13, ("crash_replica", "drain_replica", "reshard")),
     (14, ("crashing_request", "kill")),
+    (15, ("limit",)),
 )
 
 
