Keep observations of requests and of targets in two tables

A target that left stays known for an hour, and as long as anything was known each attempt looked for evidence of crashes. The kind now names its table, so a look-up costs something only while its own kind is known; the restrictions of targets are computed again only when they or the list of targets change. The reader of evidence moves into its own module.

--- a/src/bramleyfork/entry/controllers/carriers.py
+++ b/src/bramleyfork/entry/controllers/carriers.py
@@ -13,7 +13,7 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import _connection_limits
-from bramleyfork.entry.controllers import _quarantine
+from bramleyfork.entry.controllers import _evidence
 from bramleyfork.entry.decisions import fingerprints
 from bramleyfork.entry.decisions import gathers
 from bramleyfork.entry.decisions import quarantine
@@ -64,7 +64,7 @@
         "listed_targets",
         "members",
         "route_table",
-        "observations",
+        "request_observations",
     ),
     writes=("carried_sends", "carried_aborts", "carried_departures"),
 )
@@ -94,9 +94,9 @@
             members=self.get_table("members"),
             routes=self.get_table("route_table"),
         )
-        self._evidence = _quarantine.EvidenceReader(
+        self._evidence = _evidence.EvidenceReader(
             settings=self.context.settings,
-            known=self.get_table("observations"),
+            known=self.get_table("request_observations"),
             members=self.get_table("members"),
         )
         self._now = 0.0
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -15,6 +15,7 @@
 from bramleyfork.entry.controllers import _carrier_selector
 from bramleyfork.entry.controllers import _connection_limits
 from bramleyfork.entry.controllers import _dispatcher
+from bramleyfork.entry.controllers import _evidence
 from bramleyfork.entry.controllers import _exchange
 from bramleyfork.entry.controllers import _exchange_builder
 from bramleyfork.entry.controllers import _outcomes
@@ -53,7 +54,8 @@
         "members",
         "listed_targets",
         "feed_state",
-        "observations",
+        "request_observations",
+        "target_observations",
     ),
     writes=(
         "sends",
@@ -95,15 +97,15 @@
                     routes=self.get_table("route_table"),
                 ),
                 listed=self.get_table("listed_targets"),
-                known=self.get_table("observations"),
+                known=self.get_table("target_observations"),
             ),
             carriers=_carrier_selector.CarrierSelector(
                 members=self.get_table("members")
             ),
             request_quarantine=_quarantine.Quarantine(
-                reader=_quarantine.EvidenceReader(
+                reader=_evidence.EvidenceReader(
                     settings=self.context.settings,
-                    known=self.get_table("observations"),
+                    known=self.get_table("request_observations"),
                     members=self.get_table("members"),
                 ),
                 writer=self.get_writer("request_findings"),
--- a/src/bramleyfork/entry/controllers/observations.py
+++ b/src/bramleyfork/entry/controllers/observations.py
@@ -14,6 +14,7 @@
 _LOG = logging.getLogger("bramleyfork.decisions")
 
 # Logs of what components of this host have learnt.
+_TABLES = (kinds.REQUEST_TABLE, kinds.TARGET_TABLE)
 _FINDINGS = ("request_findings", "target_findings", "probe_findings")
 
 
@@ -22,7 +23,7 @@
     "observations",
     reads=(*_FINDINGS, "peer_observations"),
     passive_reads=("members",),
-    writes=("observations", "observation_sends"),
+    writes=(*_TABLES, "observation_sends"),
 )
 class Observations(components.Component):
     """Turns findings into observations and tells them to the other hosts."""
@@ -106,7 +107,8 @@
         self._store(self._find_known(kinds.get_key(observation)), observation)
 
     def _find_known(self, key: kinds.Key) -> kinds.Known:
-        return self.get_table("observations").get(key) or ()
+        table = self.get_table(kinds.KINDS.find(key[0]).table)
+        return table.get(key) or ()
 
     def _store(
         self, known: kinds.Known, observation: observations.Observation
@@ -119,7 +121,8 @@
             self.context.metrics.count("observations_dropped")
             return
         self._count += added
-        self.get_writer("observations").put(kinds.get_key(observation), merged)
+        table = kinds.KINDS.find(observation.kind).table
+        self.get_writer(table).put(kinds.get_key(observation), merged)
         self._queue(observation)
         self.context.metrics.count("observations_stored", observation.kind)
         _LOG.info(
@@ -162,7 +165,8 @@
         """Sends some observations to a random host, and more to new hosts."""
         known = [
             observation
-            for same_subject in self.get_table("observations").list_records()
+            for name in _TABLES
+            for same_subject in self.get_table(name).list_records()
             for observation in same_subject
         ]
         new_hosts = self._find_new_hosts()
@@ -214,13 +218,14 @@
             )
 
     def _drop_ended(self) -> None:
-        table = self.get_table("observations")
-        for key, known in table.copy_records().items():
-            left = kinds.select_in_force(known, self._now)
-            if len(left) == len(known):
-                continue
-            self._count -= len(known) - len(left)
-            if left:
-                self.get_writer("observations").put(key, left)
-            else:
-                self.get_writer("observations").remove(key)
+        for name in _TABLES:
+            writer = self.get_writer(name)
+            for key, known in self.get_table(name).copy_records().items():
+                left = kinds.select_in_force(known, self._now)
+                if len(left) == len(known):
+                    continue
+                self._count -= len(known) - len(left)
+                if left:
+                    writer.put(key, left)
+                else:
+                    writer.remove(key)
--- a/src/bramleyfork/entry/controllers/targets.py
+++ b/src/bramleyfork/entry/controllers/targets.py
@@ -30,7 +30,7 @@
         "evacuations",
         "target_faults",
         "probe_results",
-        "observations",
+        "target_observations",
     ),
     passive_reads=("route_table",),
     writes=("usable", "probes"),
@@ -44,6 +44,7 @@
         "_evacuated",
         "_seen_versions",
         "_restrictions",
+        "_restriction_versions",
         "_due_at",
         "_now",
     )
@@ -55,6 +56,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._seen_versions = (-1, -1)
         self._restrictions: dict[str, observations.Observation] = {}
+        self._restriction_versions = (-1, -1)
         self._due_at: float | None = None
         self._now = 0.0
 
@@ -157,11 +159,17 @@
 
     def _apply_restrictions(self) -> bool:
         """Finds the targets whose own answers keep this host from sending."""
-        known = self.get_table("observations")
+        known = self.get_table("target_observations")
+        listed = self.get_table("listed_targets")
+        versions = (known.version, listed.version)
+        has_ended = any(
+            o.ends_at <= self._now for o in self._restrictions.values()
+        )
+        if versions == self._restriction_versions and not has_ended:
+            return False
+        self._restriction_versions = versions
         found = {}
-        for target in self.get_table("listed_targets").list_records():
-            if not len(known):
-                break
+        for target in listed.list_records() if len(known) else ():
             restriction = restrictions.find_restriction(
                 lambda kind, subject: known.get((kind, subject)),
                 target,
--- a/src/bramleyfork/entry/decisions/observations.py
+++ b/src/bramleyfork/entry/decisions/observations.py
@@ -36,23 +36,30 @@
 NO_LIMIT = 1e9
 
 
+REQUEST_TABLE = "request_observations"
+TARGET_TABLE = "target_observations"
+
+
 class Kind:
     """How observations of one kind are made and kept.
 
     Attributes:
+      table: Section of the blackboard that holds them, by what they are about.
       lifetime_s: Longest time in seconds for which an observation holds.
       merge: Returns the value after another finding on the same occasion, from
         the value so far and that of the finding.
     """
 
-    __slots__ = ("lifetime_s", "merge")
+    __slots__ = ("table", "lifetime_s", "merge")
 
     def __init__(
         self,
         *,
+        table: str,
         lifetime_s: float,
         merge: collections.abc.Callable[[float, float], float],
     ):
+        self.table = table
         self.lifetime_s = lifetime_s
         self.merge = merge
 
@@ -64,7 +71,7 @@
 
 
 def register_kind(
-    name: str, *, lifetime_s: float
+    name: str, *, table: str, lifetime_s: float
 ) -> collections.abc.Callable[
     [collections.abc.Callable[[float, float], float]],
     collections.abc.Callable[[float, float], float],
@@ -73,24 +80,27 @@
 
     Args:
       name: Name of the kind.
+      table: REQUEST_TABLE or TARGET_TABLE.
       lifetime_s: Longest time in seconds for which an observation holds.
     """
 
     def store(merge):
-        KINDS.register(name)(Kind(lifetime_s=lifetime_s, merge=merge))
+        KINDS.register(name)(
+            Kind(table=table, lifetime_s=lifetime_s, merge=merge)
+        )
         return merge
 
     return store
 
 
-@register_kind(CRASH, lifetime_s=300.0)
-@register_kind(TRIAL_CRASH, lifetime_s=300.0)
+@register_kind(CRASH, table=REQUEST_TABLE, lifetime_s=300.0)
+@register_kind(TRIAL_CRASH, table=REQUEST_TABLE, lifetime_s=300.0)
 def count_ends(before: float, added: float) -> float:
     """Counts the targets that ended on one occasion."""
     return before + added
 
 
-@register_kind(COMPLETION, lifetime_s=300.0)
+@register_kind(COMPLETION, table=REQUEST_TABLE, lifetime_s=300.0)
 def keep_strongest(before: float, added: float) -> float:
     """Keeps 1 once a trial has completed."""
     return max(before, added)
@@ -98,11 +108,11 @@
 
 # Targets that leave are gone within minutes. A rolling restart of all of them
 # within a day stays below MAX_OBSERVATIONS.
-@register_kind(LEAVING, lifetime_s=3600.0)
+@register_kind(LEAVING, table=TARGET_TABLE, lifetime_s=3600.0)
 # A pause ends when the target said. It may say more than anybody waits for.
-@register_kind(PAUSE, lifetime_s=600.0)
+@register_kind(PAUSE, table=TARGET_TABLE, lifetime_s=600.0)
 # A target names its limit in each answer; without answers it is forgotten.
-@register_kind(RATE_LIMIT, lifetime_s=30.0)
+@register_kind(RATE_LIMIT, table=TARGET_TABLE, lifetime_s=30.0)
 def keep_last(before: float, added: float) -> float:
     """Keeps what the target said last."""
     del before
@@ -135,6 +145,8 @@
       now: Monotonic time in seconds.
       host: Name of the only owner that counts; None for all.
     """
+    if not known:
+        return None
     return max(
         (
             o
--- a/src/bramleyfork/entry/decisions/quarantine.py
+++ b/src/bramleyfork/entry/decisions/quarantine.py
@@ -19,6 +19,8 @@
 TRIAL_CRASH_LIMIT = 2
 # A refused request is tried once more after this time, by a single host.
 REFUSAL_S = 30.0
+# Time after a crash in which a host that hears from no other makes no trial.
+ISOLATED_HOLD_S = 10.0
 # Trial crashes after which it is not tried again.
 MAX_TRIAL_CRASHES = 3
 # Crashes within this time of the first one count as the first crashes.
@@ -97,7 +99,8 @@
     is_proved = ends >= CRASH_LIMIT and trial_ends >= limit
     if is_proved and now < _find_refusal_end(trial_crashes):
         return Ruling.REFUSED
-    if is_isolated:
+    last_at = max(c.observed_at for c in (*crashes, *trial_crashes))
+    if is_isolated and now < last_at + ISOLATED_HOLD_S:
         return Ruling.HELD
     if ends < CRASH_LIMIT or (has_completed and not is_proved):
         return Ruling.TRIAL
--- a/src/bramleyfork/entry/sections.py
+++ b/src/bramleyfork/entry/sections.py
@@ -16,7 +16,8 @@
     ("request_findings", sections.LOG, "exchanges"),
     ("target_findings", sections.LOG, "target_connections"),
     ("probe_findings", sections.LOG, "health_checks"),
-    ("observations", sections.TABLE, "observations"),
+    ("request_observations", sections.TABLE, "observations"),
+    ("target_observations", sections.TABLE, "observations"),
     ("observation_sends", sections.LOG, "observations"),
     ("peer_observations", sections.LOG, "peers"),
     # Attempts that another host, a carrier, makes for this one.
--- a/src/bramleyfork/entry/transports/health_checks.py
+++ b/src/bramleyfork/entry/transports/health_checks.py
@@ -17,7 +17,7 @@
     components.TRANSPORTS,
     "health_checks",
     reads=("probes",),
-    passive_reads=("observations",),
+    passive_reads=("target_observations",),
     writes=("probe_results", "probe_findings"),
 )
 class HealthChecks(components.Component):
@@ -34,7 +34,7 @@
         )
         self._recorder = _statements.StatementRecorder(
             context=self.context,
-            known=self.get_table("observations"),
+            known=self.get_table("target_observations"),
             writer=self.get_writer("probe_findings"),
         )
 
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -36,7 +36,7 @@
     components.TRANSPORTS,
     "target_connections",
     reads=("sends", "carried_sends", "aborts", "carried_aborts"),
-    passive_reads=("observations",),
+    passive_reads=("target_observations",),
     writes=("replies", "target_findings"),
 )
 class TargetTransport(components.Component):
@@ -72,7 +72,7 @@
         )
         self._recorder = _statements.StatementRecorder(
             context=self.context,
-            known=self.get_table("observations"),
+            known=self.get_table("target_observations"),
             writer=self.get_writer("target_findings"),
         )
 
