--- a/src/bramleyfork/entry/controllers/observations.py
+++ b/src/bramleyfork/entry/controllers/observations.py
@@ -31,7 +31,7 @@
     __slots__ = (
         "_random",
         "_numbers",
-        "_rounds_left",
+        "_queued",
         "_next_round_at",
         "_next_exchange_at",
         "_incarnations",
@@ -43,8 +43,8 @@
         """Sets up state before the first step."""
         self._random = random.Random(self.context.incarnation + 3)
         self._numbers = itertools.count(1)
-        # Rounds in which an observation is still to be sent.
-        self._rounds_left: dict[observations.Observation, int] = {}
+        # Observations that are still to be sent, with the rounds that are left.
+        self._queued: dict[tuple, tuple[observations.Observation, int]] = {}
         self._next_round_at: float | None = None
         self._next_exchange_at = 0.0
         # Incarnations of the hosts that have been sent all observations.
@@ -60,7 +60,7 @@
                 self._handle_finding(finding)
         for received in self.read_new_records("peer_observations"):
             self._handle_received(received)
-        if self._rounds_left and self._next_round_at is None:
+        if self._queued and self._next_round_at is None:
             self._next_round_at = now
         if self._next_round_at is not None and self._next_round_at <= now:
             self._send_round()
@@ -146,19 +146,24 @@
         others = len(self.get_table("members")) - 1
         # In a small fleet the owner tells every host itself.
         if is_own or others > kinds.FANOUT:
-            self._rounds_left[observation] = kinds.SEND_ROUNDS
+            key = (*kinds.get_key(observation), *kinds.get_origin(observation))
+            self._queued[key] = (observation, kinds.SEND_ROUNDS)
 
     def _send_round(self) -> None:
         self._next_round_at = self._now + kinds.SEND_INTERVAL_S
-        queued = [o for o in self._rounds_left if o.ends_at > self._now]
+        batch = [
+            observation
+            for observation, _ in self._queued.values()
+            if observation.ends_at > self._now
+        ]
         for member in self._choose_receivers(kinds.FANOUT):
-            self._send(member, queued)
-        self._rounds_left = {
-            observation: left - 1
-            for observation, left in self._rounds_left.items()
-            if left > 1 and observation in queued
+            self._send(member, batch)
+        self._queued = {
+            key: (observation, left - 1)
+            for key, (observation, left) in self._queued.items()
+            if left > 1 and observation.ends_at > self._now
         }
-        if not self._rounds_left:
+        if not self._queued:
             self._next_round_at = None
 
     def _send_known(self) -> None:
--- a/src/bramleyfork/entry/decisions/observations.py
+++ b/src/bramleyfork/entry/decisions/observations.py
@@ -124,6 +124,11 @@
     return observation.kind, observation.subject
 
 
+def get_origin(observation: observations.Observation) -> tuple[str, str]:
+    """Returns owner and occasion; of each pair the newest one counts."""
+    return observation.host, observation.occasion
+
+
 def select_in_force(known: Known | None, now: float) -> Known:
     """Returns the observations that still hold.
 
@@ -170,7 +175,7 @@
     """
     others = []
     for observation in known:
-        if not _is_same(observation, received):
+        if get_origin(observation) != get_origin(received):
             others.append(observation)
         elif _compute_version(observation) >= _compute_version(received):
             return None
@@ -241,12 +246,6 @@
     )
 
 
-def _is_same(
-    first: observations.Observation, second: observations.Observation
-) -> bool:
-    return first.host == second.host and first.occasion == second.occasion
-
-
 def _compute_version(
     observation: observations.Observation,
 ) -> tuple[int, int]:
--- a/tests/entry/decisions/test_entry_answers.py
+++ b/tests/entry/decisions/test_entry_answers.py
@@ -96,8 +96,7 @@
     "changes", [{"sent_at": NOW - 1.0}, {"is_health_check": True}]
 )
 def test_an_answer_that_says_nothing_of_now_does_not_end_a_limit(changes):
-    # Guards against a limit that ends with the answer to an earlier request, or
-    # with a health check, and begins again with the next answer.
+    # Guards against a limit that ends and begins with every other answer.
     assert build({}, create_limit(age_s=0.5), **changes) == []
 
 
--- a/tests/entry/test_entry_crashing_requests.py
+++ b/tests/entry/test_entry_crashing_requests.py
@@ -109,8 +109,7 @@
 @pytest.mark.parametrize("route", ROUTES)
 @pytest.mark.parametrize("hosts", [1, 3])
 def test_a_request_that_was_merely_in_flight_is_not_blamed(route, hosts):
-    # Guards against a popular request that is refused because targets ended
-    # now and then while they ran it.
+    # Guards against a popular request that is refused by coincidence.
     fleet = fleets.Fleet(route=ROUTES[route], hosts=hosts, replicas=3)
     names = sorted(fleet.hosts)
     for number in range(100):
@@ -141,8 +140,7 @@
 
 
 def test_a_request_beside_a_crashing_one_is_not_blamed():
-    # Guards against a request that is repeated at the same targets as the one
-    # which ends them.
+    # Guards against blame for all requests that were at the same targets.
     fleet = fleets.Fleet(route=ROUTES["single"], hosts=3, replicas=8)
     names = sorted(fleet.hosts)
     for _ in range(30):
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -568,8 +568,7 @@
 
 
 def test_attempts_that_wait_for_a_connection_are_not_sent_in_a_pause():
-    # Guards against a queue that is sent one by one to a target that has asked
-    # for a pause.
+    # Guards against a queue that is sent one by one in a target's pause.
     async def work():
         async with run_targets() as (harness, replica):
             replica.service_time_s = 0.05
--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -350,8 +350,7 @@
 
 
 def test_requests_that_come_late_in_the_grace_are_answered():
-    # Guards against requests that are passed on and cut off when the process
-    # ends.
+    # Guards against requests that are cut off when the process ends.
     async def work():
         async with run_environment() as environment:
             environment.declare(version=2, one_timeout_ms=8000)
@@ -411,8 +410,7 @@
 
 
 def test_replicas_that_ask_for_a_pause_get_nothing_until_its_end():
-    # Guards against requests to targets that turn this host away, for lack of
-    # others.
+    # Guards against requests in a pause for lack of other targets.
     async def work():
         async with run_environment() as environment:
             loop = asyncio.get_running_loop()
--- a/tests/platform_adapter/test_platform_items.py
+++ b/tests/platform_adapter/test_platform_items.py
@@ -135,8 +135,7 @@
 @pytest.mark.parametrize("depth", [100, 900, 985, 995, 1005, 100_000])
 @pytest.mark.parametrize(("left", "right"), [("[", "]"), ('{"a":', "}")])
 def test_a_deeply_nested_target_does_not_raise(field, depth, left, right):
-    # Guards against an entry of another program that ends the process, when it
-    # is parsed or when the log line about it is written.
+    # Guards against an entry of another program that ends the process.
     others = {k: v for k, v in TARGET.items() if k != field}
     nested = left * depth + "1" + right * depth
     text = json.dumps(others)[:-1] + f', "{field}": {nested}}}'
