Don't hold a gather for a trial that can't be made

A gather of which both targets of a shard had ended was held until its deadline: the shard to be tried had no target, and the others waited for its trial. It is now tried at a shard with a target in use; once any shard has answered, only shards whose targets ended need a trial, and these need not wait for the trials of others, as a refusal then takes two ends in trials. A host that hears from no other refrains from trials only from the third end on.

The new test on simulated fleets fails before with 3 of 6 requests answered.

--- a/src/bramleyfork/entry/controllers/_quarantine.py
+++ b/src/bramleyfork/entry/controllers/_quarantine.py
@@ -1,5 +1,6 @@
 """Finds out whether a request may be sent, and records how its attempts end."""
 
+import collections.abc
 import typing
 
 from bramleyfork.core import verdicts
@@ -17,13 +18,27 @@
 
     Args:
       reader: Reads what hosts have observed.
+      has_target: Returns whether a service has a usable target.
       writer: Writer of the section "request_findings".
     """
 
-    __slots__ = ("_reader", "_writer", "_trials", "_targets_on_trial")
+    __slots__ = (
+        "_has_target",
+        "_reader",
+        "_writer",
+        "_trials",
+        "_targets_on_trial",
+    )
 
-    def __init__(self, *, reader: _evidence.EvidenceReader, writer: typing.Any):
+    def __init__(
+        self,
+        *,
+        reader: _evidence.EvidenceReader,
+        has_target: collections.abc.Callable[[str], bool],
+        writer: typing.Any,
+    ):
         self._reader = reader
+        self._has_target = has_target
         self._writer = writer
         # Key of the request that is being tried, by fingerprint.
         self._trials: dict[str, int] = {}
@@ -58,32 +73,41 @@
     ) -> bool:
         """Returns whether a shard may be sent to a target.
 
-        A suspect is tried at one shard at a time, and at a target that runs no
-        other trial, so that an end shows which request caused it.
+        A suspect is tried at one shard at a time. Until any shard has answered
+        it, it is tried at a target that runs no other trial, so that an end
+        shows which request caused it.
         """
         ruling = self.find_ruling(exchange, now)
         if ruling is not quarantine.Ruling.TRIAL:
             return ruling is quarantine.Ruling.FREE
+        evidence = self._reader.read(exchange.find_fingerprint(), now)
+        if not quarantine.needs_trial(evidence, shard.service):
+            return True
         if exchange.trials:
             return any(attempt.is_trial for attempt in shard.attempts)
-        if target.target in self._targets_on_trial:
+        is_taken = target.target in self._targets_on_trial
+        if is_taken and not quarantine.has_answer(evidence):
             return False
-        return shard.service == self._choose_trial_service(exchange, now)
+        return shard.service == self._choose_trial_service(exchange, evidence)
 
     def _choose_trial_service(
-        self, exchange: _exchange.Exchange, now: float
+        self, exchange: _exchange.Exchange, evidence: quarantine.Evidence
     ) -> str:
-        """Returns the service at which a suspect is tried first.
+        """Returns the service at which a suspect is tried first, or "".
 
-        Requests that were in flight together are spread over the services, so
-        that one which crashes targets doesn't incriminate the others.
+        It is one whose targets have ended, if such a one is in use. Requests
+        that were in flight together are spread over these services, so that one
+        which crashes targets doesn't incriminate the others.
         """
-        evidence = self._reader.read(exchange.find_fingerprint(), now)
         suspects = quarantine.list_suspect_services(evidence)
-        pending = [
-            shard.service for shard in exchange.shards if shard.is_pending()
+        sendable = [
+            shard.service
+            for shard in exchange.shards
+            if shard.is_pending() and self._has_target(shard.service)
         ]
-        found = [s for s in pending if s in suspects] or pending
+        found = [s for s in sendable if s in suspects] or sendable
+        if not found:
+            return ""
         return found[int(exchange.fingerprint, 16) % len(found)]
 
     def is_refused(self, exchange: _exchange.Exchange, now: float) -> bool:
@@ -101,10 +125,12 @@
         self, attempt: _exchange.Attempt, now: float
     ) -> None:
         """Marks an attempt as a trial if its request is a suspect."""
-        ruling = self.find_ruling(attempt.exchange, now)
-        if ruling is not quarantine.Ruling.TRIAL:
-            return
         exchange = attempt.exchange
+        if self.find_ruling(exchange, now) is not quarantine.Ruling.TRIAL:
+            return
+        evidence = self._reader.read(exchange.find_fingerprint(), now)
+        if not quarantine.needs_trial(evidence, attempt.shard.service):
+            return
         attempt.is_trial = True
         exchange.trials.add(attempt.number)
         self._targets_on_trial[attempt.target.target] = attempt.number
@@ -169,12 +195,16 @@
             evidence, service, is_trial=attempt.is_trial
         ):
             return
+        is_cleared = (
+            attempt.is_trial
+            and service in quarantine.list_suspect_services(evidence)
+        )
         self._writer.append(
             observations.Finding(
                 kind=kinds.COMPLETION,
                 subject=fingerprint,
                 service=service,
-                value=float(attempt.is_trial),
+                value=float(is_cleared),
             )
         )
 
--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -87,18 +87,9 @@
         self._in_flight: dict[int, _exchange.Exchange] = {}
         self._switch = switching.RouteTableSwitch()
         self._random = random.Random(self.context.incarnation)
+        target_selector = self._build_target_selector()
         self._dispatcher = _dispatcher.Dispatcher(
-            target_selector=_target_selector.TargetSelector(
-                context=self.context,
-                usable=self.get_table("usable"),
-                limits=_connection_limits.ConnectionLimits(
-                    settings=self.context.settings,
-                    members=self.get_table("members"),
-                    routes=self.get_table("route_table"),
-                ),
-                listed=self.get_table("listed_targets"),
-                known=self.get_table("target_observations"),
-            ),
+            target_selector=target_selector,
             carriers=_carrier_selector.CarrierSelector(
                 members=self.get_table("members")
             ),
@@ -108,6 +99,7 @@
                     known=self.get_table("request_observations"),
                     members=self.get_table("members"),
                 ),
+                has_target=target_selector.has_usable_target,
                 writer=self.get_writer("request_findings"),
             ),
             writers={
@@ -140,6 +132,19 @@
         )
         self._now = 0.0
 
+    def _build_target_selector(self) -> _target_selector.TargetSelector:
+        return _target_selector.TargetSelector(
+            context=self.context,
+            usable=self.get_table("usable"),
+            limits=_connection_limits.ConnectionLimits(
+                settings=self.context.settings,
+                members=self.get_table("members"),
+                routes=self.get_table("route_table"),
+            ),
+            listed=self.get_table("listed_targets"),
+            known=self.get_table("target_observations"),
+        )
+
     def step(self, now: float) -> float | None:
         """Handles disconnected callers, replies, requests and due timers."""
         self._now = now
--- a/src/bramleyfork/entry/decisions/quarantine.py
+++ b/src/bramleyfork/entry/decisions/quarantine.py
@@ -19,7 +19,8 @@
 TRIAL_CRASH_LIMIT = 2
 # A refused request is tried once more after this time, by a single host.
 REFUSAL_S = 30.0
-# Time after a crash in which a host that hears from no other makes no trial.
+# Time after the last crash in which a host that hears from no other does not
+# take itself for the one that may try a request.
 ISOLATED_HOLD_S = 10.0
 # Trial crashes after which it is not tried again.
 MAX_TRIAL_CRASHES = 3
@@ -99,11 +100,11 @@
     is_proved = ends >= CRASH_LIMIT and trial_ends >= limit
     if is_proved and now < _find_refusal_end(trial_crashes):
         return Ruling.REFUSED
+    if ends < CRASH_LIMIT or (has_completed and not is_proved):
+        return Ruling.TRIAL
     last_at = max(c.observed_at for c in (*crashes, *trial_crashes))
     if is_isolated and now < last_at + ISOLATED_HOLD_S:
         return Ruling.HELD
-    if ends < CRASH_LIMIT or (has_completed and not is_proved):
-        return Ruling.TRIAL
     owner = _find_owner((*crashes, *trial_crashes), fingerprint, live_hosts)
     return Ruling.TRIAL if owner == host else Ruling.HELD
 
@@ -164,6 +165,23 @@
     )
 
 
+def needs_trial(evidence: Evidence, service: str) -> bool:
+    """Returns whether a suspect must be tried before it is sent to a service.
+
+    Once any service has answered it, it can only crash the targets of those at
+    which it is not cleared.
+    """
+    if service in list_suspect_services(evidence):
+        return True
+    return not has_answer(evidence)
+
+
+def has_answer(evidence: Evidence) -> bool:
+    """Returns whether any service has answered a suspect since its crash."""
+    crashes = (*evidence.crashes, *evidence.trial_crashes)
+    return not crashes or _has_completed(evidence, crashes)
+
+
 def is_worth_telling(
     evidence: Evidence, service: str, *, is_trial: bool
 ) -> bool:
--- a/tests/entry/test_entry_crashing_requests.py
+++ b/tests/entry/test_entry_crashing_requests.py
@@ -139,6 +139,20 @@
     assert statuses == [200] * 9
 
 
+@pytest.mark.parametrize("hosts", [1, 3])
+def test_a_gather_is_answered_although_all_targets_of_a_shard_end(hosts):
+    # Guards against a request that is held for a trial that can't be made.
+    fleet = fleets.Fleet(route=ROUTES["gather"], hosts=hosts, replicas=2)
+    for number in range(6):
+        fleet.send(f"host-{number % hosts + 1}", f"/find/{number}")
+    fleet.run(0.01)
+    for name in ("s3a", "s3b", "s1a"):
+        fleet.end_target(name)
+    fleet.run(0.3)
+    statuses = [s for found in fleet.statuses.values() for s in found]
+    assert statuses == [200] * 6
+
+
 def test_a_request_beside_a_crashing_one_is_not_blamed():
     # Guards against blame for all requests that were at the same targets.
     fleet = fleets.Fleet(route=ROUTES["single"], hosts=3, replicas=8)
