--- a/tests/entry/transports/test_entry_decoder_fuzz.py
+++ b/tests/entry/transports/test_entry_decoder_fuzz.py
@@ -13,10 +13,12 @@
 
 from bramleyfork.entry import declarations
 from bramleyfork.entry import feeds
+from bramleyfork.entry.controllers import observations
 from bramleyfork.entry.transports import http_client
 from bramleyfork.entry.transports import peers
 from bramleyfork.entry.transports import server_connections
 import platform_store
+from tests.entry import boards
 
 pytestmark = pytest.mark.fuzz
 
@@ -249,3 +251,28 @@
         assert isinstance(result.revision, int)
         assert all(isinstance(c.revision, int) for c in result.changes)
         assert all(isinstance(c.key, str) for c in result.changes)
+
+
+@hypothesis.given(
+    row=strategies.lists(MSGPACK_VALUES, min_size=9, max_size=12),
+    numbers=strategies.tuples(
+        strategies.integers(), strategies.floats(), strategies.floats()
+    ),
+)
+def test_any_observations_of_a_host_are_valid_or_an_error(row, numbers):
+    # Guards against a datagram that is stored and fails in a later step.
+    count, value, seconds = numbers
+    plausible = ["crash", "f1", "host-2", 1, 1, "r1", 0, ["s1"], value]
+    for fields in (row, [*plausible, seconds, 1.0], [*plausible, 1.0, count]):
+        try:
+            data = msgpack.packb([1, "observations", 0, [fields]])
+        except OverflowError:
+            continue
+        try:
+            received = peers.decode_observations(data)
+        except peers.DatagramError:
+            continue
+        harness = boards.ComponentHarness(observations.Observations)
+        harness.append("peer_observations", *received)
+        harness.step()
+        harness.step(2.0)
