--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -9,6 +9,7 @@
 
 from bench.soak import callers
 from bench.soak import environment as environments
+from bench.soak import replicas
 from bramleyfork.core import registries
 
 Check = collections.abc.Callable[
@@ -36,7 +37,7 @@
 
 def _index_runs(
     environment: environments.SoakEnvironment,
-) -> dict[str, list[environments.SoakReplica]]:
+) -> dict[str, list[replicas.SoakReplica]]:
     """Returns the replicas that ran each request, by request id."""
     runs = collections.defaultdict(list)
     for replica in environment.all_replicas:
@@ -89,7 +90,7 @@
     records = [
         record
         for name in names
-        for record in environments.build_records(name, call.request_id)
+        for record in replicas.build_records(name, call.request_id)
     ]
     expected = b"".join(sorted(records, reverse=True)[: environments.TOP])
     if call.body != expected:
@@ -121,7 +122,7 @@
     for call in calls:
         if call.is_gather or call.status != 200:
             continue
-        expected = environments.build_records("seats", call.request_id)
+        expected = replicas.build_records("seats", call.request_id)
         if call.body != b"".join(expected):
             yield f"{call.request_id}: the body differs from the replica's"
 
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -1,7 +1,6 @@
 """Environment of a soak: store, replicas, proxies and host processes."""
 
 import asyncio
-import hashlib
 import json
 import os
 import pathlib
@@ -13,15 +12,13 @@
 import time
 
 from bench.soak import proxies
-from standins.entry import http_stand_in
-from standins.entry import replicas
+from bench.soak import replicas
 from standins.entry import store as stores
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = {"north": "left", "south": "right", "east": "far"}
 SHARDS = 6
 HOSTS = 3
-RECORDS = 5
 TOP = 4
 MIN_SHARD_RATIO = 0.5
 GATHER_PATH = "/find/"
@@ -30,102 +27,6 @@
 _PORTS = {"front": 8104, "ready": 8108, "control": 8106, "directory": 8100}
 _WARMUP_S = 1.5
 _HEARTBEAT_S = 1.2
-_CRASH_DOWN_S = 0.5
-
-
-def build_records(service: str, request_id: str) -> list[bytes]:
-    """Returns the records that a service returns for a request.
-
-    They are derived from both, so a mixed-up reply is detected.
-    """
-    return [
-        hashlib.blake2b(
-            f"{service} {request_id} {n}".encode(), digest_size=16
-        ).digest()
-        for n in range(RECORDS)
-    ]
-
-
-class SoakReplica(replicas.Replica):
-    """Replica stand-in that logs the requests that it runs.
-
-    Attributes:
-      service: Name of its service.
-      zone: Name of its zone.
-      run_log: Monotonic time, method and request id of each request begun.
-      cold_until: Monotonic time until which it is cold.
-      closed_at: Monotonic time at which the store accepted its drain or
-        evacuation; None while it may be used.
-      limits: Begin, end and requests per second of each limit that it named.
-    """
-
-    def __init__(
-        self,
-        *,
-        name: str,
-        service: str,
-        zone: str,
-        crashes: "dict[str, CrashingPath]",
-    ):
-        super().__init__(name=name, service_time_s=0.004)
-        self.limits: list[tuple[float, float, float]] = []
-        self._crashes = crashes
-        self.service = service
-        self.zone = zone
-        self.run_log: list[tuple[float, str, str]] = []
-        self.cold_until = 0.0
-        self.closed_at: float | None = None
-        self.open_again_at = 0.0
-
-    def build_body(self, request: http_stand_in.Request) -> bytes:
-        """Returns the records of the service for a request."""
-        request_id = request.headers.get("x-request-id", "")
-        return b"".join(build_records(self.service, request_id))
-
-    async def _answer(
-        self, request: http_stand_in.Request
-    ) -> http_stand_in.Reply | None:
-        expected = request.headers.get("x-expected-instance", self.name)
-        if request.target != "/health" and expected == self.name:
-            request_id = request.headers.get("x-request-id", "")
-            self.run_log.append((time.monotonic(), request.method, request_id))
-        crash = self._crashes.get(request.target)
-        if crash is not None:
-            crash.arrivals.append((time.monotonic(), request_id))
-            asyncio.get_running_loop().create_task(self._restart())
-            await asyncio.sleep(_CRASH_DOWN_S)
-        left = max(0.0, self.cold_until - time.monotonic())
-        self.warmup_ms = int(left * 1000)
-        reply = await super()._answer(request)
-        if reply is not None and self.limits and request.target != "/health":
-            begin, end, limit_per_s = self.limits[-1]
-            if begin <= time.monotonic() < end:
-                named = ("Server-Limit", str(limit_per_s))
-                reply.headers = (*reply.headers, named)
-        return reply
-
-    async def _restart(self) -> None:
-        """Ends the replica and starts it again at the same port."""
-        port = self.address[1]
-        await self.close()
-        await asyncio.sleep(_CRASH_DOWN_S)
-        try:
-            await self.open(port)
-        except OSError:
-            # A connection took the port meanwhile; the replica stays down.
-            return
-
-
-class CrashingPath:
-    """A path whose requests end each replica that begins them.
-
-    Attributes:
-      arrivals: Monotonic time and request id of each of these requests that
-        reached a replica, which ended then.
-    """
-
-    def __init__(self):
-        self.arrivals: list[tuple[float, str]] = []
 
 
 class Host:
@@ -166,11 +67,11 @@
         self.store = stores.Store()
         self.version = 1
         self.sets: list[tuple[str, ...]] = []
-        self.replicas: dict[str, SoakReplica] = {}
+        self.replicas: dict[str, replicas.SoakReplica] = {}
         self.replica_proxies: dict[str, proxies.Proxy] = {}
-        self.all_replicas: list[SoakReplica] = []
+        self.all_replicas: list[replicas.SoakReplica] = []
         self.hosts: list[Host] = []
-        self.crashes: dict[str, CrashingPath] = {}
+        self.crashes: dict[str, replicas.CrashingPath] = {}
         self.extra_ids: set[str] = set()
         self.store_fault_times: list[float] = []
         self._net = net
@@ -218,7 +119,7 @@
 
     async def start_replica(
         self, service: str, zone: str, *, is_cold: bool = False
-    ) -> SoakReplica:
+    ) -> replicas.SoakReplica:
         """Starts a replica and writes its entry to the store.
 
         Args:
@@ -228,7 +129,7 @@
         """
         self._last_number += 1
         name = f"i-{self._last_number:03}"
-        replica = SoakReplica(
+        replica = replicas.SoakReplica(
             name=name, service=service, zone=zone, crashes=self.crashes
         )
         if is_cold:
@@ -245,7 +146,7 @@
         return replica
 
     def publish_replica(
-        self, replica: SoakReplica, state: str = "ready"
+        self, replica: replicas.SoakReplica, state: str = "ready"
     ) -> None:
         """Writes the entry of a replica to the store."""
         left = max(0.0, replica.cold_until - time.monotonic())
@@ -265,7 +166,7 @@
             },
         )
 
-    async def stop_replica(self, replica: SoakReplica) -> None:
+    async def stop_replica(self, replica: replicas.SoakReplica) -> None:
         """Stops a replica and its proxy without a drain."""
         self.replicas.pop(replica.name, None)
         await self.replica_proxies.pop(replica.name).close()
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,6 +7,7 @@
 
 from bench.soak import environment as environments
 from bench.soak import proxies
+from bench.soak import replicas
 from bramleyfork.core import registries
 
 Fault = collections.abc.Callable[
@@ -240,7 +241,7 @@
         [environments.GATHER_PATH, environments.SEAT_PATH]
     )
     path = f"{prefix}crash-{len(environment.crashes)}"
-    environment.crashes[path] = environments.CrashingPath()
+    environment.crashes[path] = replicas.CrashingPath()
     for number in range(_CRASHING_REPEATS):
         host = environment.random.choice(environment.hosts)
         # The checks learn from the id which host the caller asked.
