--- a/review/harness/replica.py
+++ b/review/harness/replica.py
@@ -132,13 +132,11 @@
         work = asyncio.ensure_future(self._answer(request))
         closed = asyncio.ensure_future(incoming.wait_closed())
         await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
-        if not work.done():
-            work.cancel()
-            await asyncio.gather(work, return_exceptions=True)
-            return None
+        is_closed = not work.done()
+        work.cancel()
         closed.cancel()
-        await asyncio.gather(closed, return_exceptions=True)
-        return work.result()
+        await asyncio.gather(work, closed, return_exceptions=True)
+        return None if is_closed else work.result()
 
     async def _answer(self, request):
         if request.target == "/health":
