--- a/review/1/case.py
+++ b/review/1/case.py
@@ -102,7 +102,11 @@
             replicas,
             [
                 deployment.build_route(
-                    "pick", "/pick/", service="hornos", route_type="unsafe"
+                    "pick",
+                    "/pick/",
+                    service="hornos",
+                    route_type="unsafe",
+                    max_attempts=1,
                 )
             ],
         )
