Send each attempt at a request on a connection where it has not failed

Cause: targets echo the caller's id, which all attempts at a request share. A host that was refused sent the request to the same target again, often on the connection of the refusal. A late second copy of the refusal then passed for the answer to the second attempt, with the verdict NOT_RUN, while the target ran it. The same holds for a 421 when another target has taken over the address, and for attempts made for other hosts.

Evidence: a transport test with a stand-in that repeats each reply before the next one on its connection gets 503 twice and one run; with connections of their own the second attempt gets its 200. Ruled out: hedges (none on such routes), two hosts (each request was sent by one), lost or spoilt replies (their connections are closed).

Change: a pool keeps the ids of requests that failed on a connection, and an attempt takes another connection; one is replaced only if its request failed on all and the limit is reached.

Connections under refusals: 40 refused requests one after the other use one connection as before; three requests that are refused up to three times need no more than the four that were open.

--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -7,6 +7,9 @@
 
 # Connections that close within this time of each other close together.
 _CLOSE_TOGETHER_S = 0.05
+# Number of failed requests after which a connection is not reused, as their ids
+# are kept for as long as it is open.
+_MAX_FAILED_REQUESTS = 64
 
 
 class Attempt:
@@ -27,10 +30,20 @@
         self.connection: http_client.ClientConnection | None = None
         self.sent_at = 0.0
 
+    @property
+    def request_id(self) -> bytes:
+        """The caller's id, which all attempts at a request share."""
+        return self.send.request.request_id
+
 
 class Pool:
     """The connections to one target, and the attempts that wait for one.
 
+    A request that a target has answered with a failure may be sent to it again,
+    with the same id. A second copy of the first answer would then pass for the
+    answer to the second attempt, so each attempt at a request is sent on
+    another connection.
+
     Attributes:
       idle: Connections without a request.
       connections: All open connections.
@@ -49,6 +62,7 @@
         "waiting",
         "lost",
         "_closed_at",
+        "_failed_requests",
     )
 
     def __init__(self):
@@ -60,11 +74,69 @@
         self.lost: list[Attempt] = []
         # Monotonic times at which the target closed two connections last.
         self._closed_at: collections.deque[float] = collections.deque(maxlen=2)
+        # Ids of the requests that a connection has received a failure for.
+        self._failed_requests: dict[
+            http_client.ClientConnection, set[bytes]
+        ] = {}
+
+    def take_idle(
+        self, request_id: bytes
+    ) -> http_client.ClientConnection | None:
+        """Removes and returns an idle connection for a request, or None.
+
+        It is the one that was used last among those on which the request has
+        not failed before.
+        """
+        for connection in reversed(self.idle):
+            if not self.has_failed_on(connection, request_id):
+                self.idle.remove(connection)
+                return connection
+        return None
+
+    def take_waiting(
+        self, connection: http_client.ClientConnection
+    ) -> Attempt | None:
+        """Removes and returns the first attempt that may use a connection."""
+        for attempt in self.waiting:
+            if not self.has_failed_on(connection, attempt.request_id):
+                self.waiting.remove(attempt)
+                return attempt
+        return None
+
+    def record_failed(self, attempt: Attempt) -> bool:
+        """Records that a target has answered an attempt with a failure.
+
+        Returns:
+          Whether its connection may be reused for other requests.
+        """
+        failed = self._failed_requests.setdefault(attempt.connection, set())
+        failed.add(attempt.request_id)
+        return len(failed) < _MAX_FAILED_REQUESTS
+
+    def has_failed_on(
+        self, connection: http_client.ClientConnection, request_id: bytes
+    ) -> bool:
+        """Returns whether a request has failed on a connection before."""
+        return request_id in self._failed_requests.get(connection, ())
+
+    def needs_replacement(self, attempt: Attempt) -> bool:
+        """Returns whether an attempt waits for a connection in vain.
+
+        It does if its request has failed on all connections and no other one
+        may be opened.
+        """
+        if self.opening or self.count < attempt.send.connection_limit:
+            return False
+        return all(
+            self.has_failed_on(connection, attempt.request_id)
+            for connection in self.connections
+        )
 
     def remove(
         self, connection: http_client.ClientConnection, now: float
     ) -> None:
         """Removes a connection that has closed, if it isn't removed yet."""
+        self._failed_requests.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
         if connection not in self.connections:
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -131,6 +131,9 @@
             self._report_fault(attempt, "no_room", verdicts.Verdict.NOT_RUN)
             return
         pool.waiting.append(attempt)
+        if pool.idle and pool.needs_replacement(attempt):
+            pool.idle.pop(0).abort()
+            return
         self._open_if_needed(address, pool, send.connection_limit)
 
     def _take_idle(
@@ -139,8 +142,8 @@
         send: exchanges.TargetRequest,
         now: float,
     ) -> http_client.ClientConnection | None:
-        while pool.idle:
-            connection = pool.idle.pop()
+        request_id = send.request.request_id
+        while (connection := pool.take_idle(request_id)) is not None:
             if not connection.is_open:
                 continue
             may_reuse = (
@@ -220,13 +223,15 @@
         connection: http_client.ClientConnection,
         now: float,
     ) -> None:
-        while pool.waiting:
-            attempt = pool.waiting.popleft()
+        while (attempt := pool.take_waiting(connection)) is not None:
             if attempt.send.deadline_at <= now:
                 self._report_fault(attempt, "expired", verdicts.Verdict.NOT_RUN)
                 continue
             self._write(attempt, connection, now)
             return
+        if any(pool.needs_replacement(attempt) for attempt in pool.waiting):
+            connection.abort()
+            return
         pool.idle.append(connection)
 
     def _write(
@@ -308,8 +313,13 @@
                 self._fail_waiting(attempt.pool, "not_usable")
         if reply.fault:
             connection.abort()
-        elif connection.reusable_until > now:
-            self._assign_or_release(attempt.pool, connection, now)
+            return
+        if connection.reusable_until <= now:
+            return
+        if reply.status >= 300 and not attempt.pool.record_failed(attempt):
+            connection.abort()
+            return
+        self._assign_or_release(attempt.pool, connection, now)
 
     def _check_loss(
         self,
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -1,6 +1,8 @@
 import asyncio
+import collections
 import contextlib
 import os
+import random
 
 import pytest
 
@@ -311,6 +313,174 @@
     run(work)
 
 
+class Refusals:
+    """Refuses requests, and repeats each reply before the next one.
+
+    A reply and its late copy are sent on the same connection.
+    """
+
+    def __init__(self, *, counts=None, rng=None, has_copies=True):
+        self.runs = collections.Counter()
+        self._counts = counts
+        self._random = rng
+        self._has_copies = has_copies
+        self._last = {}
+
+    def __call__(self, request, reply):
+        request_id = request.headers["x-request-id"]
+        if self._is_refused(request_id):
+            reply = http_stand_in.Reply(
+                status=503,
+                headers=(("X-Request-Id", request_id), ("X-Not-Executed", "1")),
+            )
+        else:
+            self.runs[request_id] += 1
+        copy = self._last.get(request.connection, b"")
+        if self._has_copies:
+            self._last[request.connection] = reply.encode()
+        return http_stand_in.Reply(status=200, raw=copy + reply.encode())
+
+    def _is_refused(self, request_id):
+        if self._random is not None:
+            return self._random.random() < 0.6
+        self._counts[request_id] -= 1
+        return self._counts[request_id] >= 0
+
+
+def name_request(request_id):
+    headers = ((b"Host", b"a.example"), (b"X-Request-Id", request_id))
+    return {"request_id": request_id, "headers": headers}
+
+
+async def ask_until_run(harness, inbox, request_id, **changes):
+    """Sends a request again, with its id, for as long as it has not run."""
+    replies = []
+    while not replies or replies[-1].verdict is NOT_RUN:
+        assert len(replies) < 30
+        number = send(harness, **name_request(request_id), **changes)
+
+        def receive(number=number):
+            for reply in harness.read_new_records("replies"):
+                inbox[reply.attempt] = reply
+            return inbox.pop(number, None)
+
+        replies.append(await component_runner.wait_for(receive))
+    return replies
+
+
+@pytest.mark.parametrize("limit", [1, 4])
+@pytest.mark.parametrize("is_idempotent", [True, False])
+def test_a_late_copy_of_a_refusal_answers_no_later_attempt(
+    is_idempotent, limit
+):
+    # Guards against a request that runs though it counts as refused twice.
+    async def work():
+        async with run_targets() as (harness, replica):
+            refusals = Refusals(counts={"a": 1})
+            replica.reply_fault = refusals
+            replies = await ask_until_run(
+                harness,
+                {},
+                b"a",
+                limit=limit,
+                may_reuse_connection=is_idempotent,
+            )
+            assert [reply.status for reply in replies] == [503, 200]
+            assert refusals.runs == {"a": 1}
+            assert replica.server.connections == 2
+
+    run(work)
+
+
+@pytest.mark.parametrize("limit", [1, 2, 5])
+@pytest.mark.parametrize("seed", range(4))
+def test_requests_that_are_refused_at_random_run_once(seed, limit):
+    # Guards against a second run after a late copy, on any connection of many.
+    async def work():
+        async with run_targets() as (harness, replica):
+            refusals = Refusals(rng=random.Random(seed))
+            replica.reply_fault = refusals
+            inbox = {}
+            names = [b"id-%d" % number for number in range(12)]
+            found = await asyncio.gather(
+                *(
+                    ask_until_run(
+                        harness,
+                        inbox,
+                        name,
+                        limit=limit,
+                        wait_s=3.0,
+                        may_reuse_connection=False,
+                    )
+                    for name in names
+                )
+            )
+            assert all(replies[-1].status == 200 for replies in found)
+            assert refusals.runs == {name.decode(): 1 for name in names}
+
+    run(work)
+
+
+def test_another_target_at_an_address_does_not_share_a_connection():
+    # Guards against the late copy of a 421 that passes for the answer of the
+    # target which has taken over the address.
+    async def work():
+        async with run_targets() as (harness, replica):
+            misdirected = http_stand_in.Reply(
+                status=421, headers=(("X-Request-Id", "a"),)
+            ).encode()
+            replica.reply_fault = build_reply_fault(raw=misdirected)
+            send(harness, **name_request(b"a"))
+            await wait_for_replies(harness, 1)
+            replica.name = "t2"
+            replica.reply_fault = lambda request, reply: http_stand_in.Reply(
+                status=200,
+                raw=(misdirected if request.connection == 1 else b"")
+                + reply.encode(),
+            )
+            harness.target = harness.target.replace(target="t2")
+            reply = await ask(harness, **name_request(b"a"))
+            assert (reply.status, reply.verdict) == (
+                200,
+                verdicts.Verdict.RAN,
+            )
+
+    run(work)
+
+
+def test_a_refused_request_takes_another_idle_connection():
+    # Guards against a new connection for each refusal of an overloaded target.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.service_time_s = 0.01
+            for _ in range(4):
+                send(harness, limit=4)
+            await wait_for_replies(harness, 4)
+            replica.reply_fault = Refusals(
+                counts={"a": 3, "b": 2, "c": 1}, has_copies=False
+            )
+            for name in (b"a", b"b", b"c"):
+                await ask_until_run(harness, {}, name, limit=4)
+            assert replica.server.connections == 4
+
+    run(work)
+
+
+def test_connections_are_kept_while_a_target_refuses_other_requests():
+    # Guards against an overloaded target that also gets a new connection for
+    # each request.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.reply_fault = Refusals(
+                counts=collections.defaultdict(lambda: 1), has_copies=False
+            )
+            for _ in range(40):
+                assert (await ask(harness, limit=4)).status == 503
+            assert replica.server.connections == 1
+
+    run(work)
+
+
 FRAMED_REPLIES = {
     "length": b"Content-Length: 16\r\n\r\n" + RECORDS,
     "chunked": b"Transfer-Encoding: chunked\r\n\r\n10\r\n"
