Don't take a target that keeps other connections for one that has ended

A target that is at its limit refuses new connections and goes on with those it has. If it lost a reply then, the check of its end was refused, and the request counted as one that ends targets.

Failed before: test_a_target_that_keeps_other_connections_has_not_ended.

--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -52,6 +52,8 @@
       waiting: Queued attempts.
       lost: Attempts whose connection closed before their reply was complete,
         while it is not known yet whether the target ended.
+      is_refused: Whether the target refused the connection that was opened
+        last.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "opening",
         "waiting",
         "lost",
+        "is_refused",
         "_closing_at",
         "_closing_count",
         "_failed_requests",
@@ -73,6 +76,7 @@
         self.opening = 0
         self.waiting: collections.deque[Attempt] = collections.deque()
         self.lost: list[Attempt] = []
+        self.is_refused = False
         # Number of connections that the target has closed together, and the
         # monotonic time at which the first one closed.
         self._closing_at = 0.0
@@ -159,6 +163,13 @@
             self._closing_count = 0
         self._closing_count += 1
 
+    def is_down(self) -> bool:
+        """Returns whether the target refuses connections and has closed all.
+
+        A target that refuses a connection and keeps others is at its limit.
+        """
+        return self.is_refused and not self.connections
+
     def has_lost_all(self, now: float) -> bool:
         """Returns whether the target has closed all connections at once.
 
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -179,6 +179,8 @@
                 closed = True
                 pool.count -= 1
                 pool.remove(connection, loop.time())
+                if pool.is_down():
+                    self._settle_losses(pool, has_ended=True)
                 if pool.waiting:
                     limit = pool.waiting[0].send.connection_limit
                     self._open_if_needed(address, pool, limit)
@@ -198,12 +200,14 @@
         except (OSError, TimeoutError) as error:
             pool.opening -= 1
             pool.count -= 1
-            self._settle_losses(
-                pool, has_ended=isinstance(error, ConnectionRefusedError)
-            )
+            pool.is_refused = isinstance(error, ConnectionRefusedError)
+            # The end of other connections may be read later.
+            if not pool.is_refused or pool.is_down():
+                self._settle_losses(pool, has_ended=pool.is_down())
             self._fail_waiting(pool, "connect")
             return
         pool.opening -= 1
+        pool.is_refused = False
         self._settle_losses(pool, has_ended=pool.has_lost_all(loop.time()))
         pool.add(connection)
         sock = transport.get_extra_info("socket")
@@ -337,12 +341,16 @@
         pool.remove(connection, self._loop.time())
         if len(pool.lost) > 1:
             return
+        pool.is_refused = False
         self._loop.call_later(
-            _END_CHECK_TIMEOUT_S, self._settle_losses, pool, False
+            _END_CHECK_TIMEOUT_S,
+            lambda: self._settle_losses(pool, has_ended=pool.is_down()),
         )
         self._open(attempt.send.target.address, pool)
 
-    def _settle_losses(self, pool: _target_pools.Pool, has_ended: bool) -> None:
+    def _settle_losses(
+        self, pool: _target_pools.Pool, *, has_ended: bool
+    ) -> None:
         lost, pool.lost = pool.lost, []
         for attempt in lost:
             if attempt.send.attempt in self._attempts:
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -699,6 +699,31 @@
     run(work)
 
 
+def test_a_target_that_keeps_other_connections_has_not_ended():
+    # Guards against blame for a request at a target that only refuses new
+    # connections, as it has reached its limit.
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.service_time_s = 0.02
+            for _ in range(2):
+                send(harness)
+            await wait_for_replies(harness, 2)
+            replica.server.stop_listening()
+            replica.service_time_s = 0.2
+            send(harness)
+            await component_runner.wait_for(
+                lambda: len(replica.started_requests) == 3
+            )
+            replica.service_time_s = 0.0
+            replica.reply_fault = lambda request, reply: None
+            lost = await ask(harness)
+            replica.reply_fault = None
+            (other,) = await wait_for_replies(harness, 1)
+            assert (lost.fault, other.status) == ("lost", 200)
+
+    run(work)
+
+
 def test_a_target_that_closes_all_connections_at_once_has_ended():
     # Guards against a target that ends and listens again before it is checked.
     async def work():
