Report the end of a target also for an aborted attempt

The check of whether a target ended takes up to 50 ms. If the request was answered by others or its caller left meanwhile, the attempt was aborted and the end forgotten, so a request that always ends targets shortly before it is answered was never a suspect. The same held for attempts that another host makes for this one.

Now the transport finishes a check that has begun, and controllers keep aborted attempts for half a second to find the request of a late end, which counts like any other; late replies and losses still count for nothing. The end of one trial no longer ends that of another request with the same fingerprint.

Failed before: test_the_end_of_a_target_is_reported_for_an_aborted_attempt, test_the_end_of_a_target_counts_although_its_caller_has_left, test_the_end_of_a_target_is_returned_for_an_aborted_attempt, test_a_failure_of_an_aborted_attempt_is_received.

--- a/src/bramleyfork/entry/controllers/_dispatcher.py
+++ b/src/bramleyfork/entry/controllers/_dispatcher.py
@@ -12,6 +12,7 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import metrics
+from bramleyfork.entry.controllers import _aborted_attempts
 from bramleyfork.entry.controllers import _carrier_selector
 from bramleyfork.entry.controllers import _exchange
 from bramleyfork.entry.controllers import _quarantine
@@ -84,6 +85,7 @@
     Attributes:
       now: Monotonic time of the current step, in seconds.
       attempts: Attempts in flight by number.
+      aborted: Attempts that were aborted a short time ago.
       route_latencies: Latencies of sub-requests by route.
       timers: Timers of the requests in flight.
       target_selector: Ranks targets and keeps retry budgets.
@@ -94,6 +96,7 @@
     __slots__ = (
         "now",
         "attempts",
+        "aborted",
         "route_latencies",
         "timers",
         "target_selector",
@@ -117,6 +120,9 @@
     ):
         self.now = 0.0
         self.attempts: dict[int, _exchange.Attempt] = {}
+        self.aborted: _aborted_attempts.AbortedAttempts[_exchange.Attempt] = (
+            _aborted_attempts.AbortedAttempts()
+        )
         self.route_latencies = hedges.RouteLatencyTable()
         self.timers = Timers()
         self.target_selector = target_selector
@@ -335,6 +341,7 @@
         """Aborts a shard's attempts in flight, whose replies aren't needed."""
         for attempt in shard.attempts:
             self.attempts.pop(attempt.number, None)
+            self.aborted.add(attempt.number, attempt, self.now)
             self.quarantine.record_end(attempt)
             shard.verdicts.append(verdicts.Verdict.MAY_HAVE_RUN)
             self.avoid_silent_carrier(attempt)
--- a/src/bramleyfork/entry/controllers/_quarantine.py
+++ b/src/bramleyfork/entry/controllers/_quarantine.py
@@ -145,8 +145,10 @@
         target = attempt.target.target
         if self._targets_on_trial.get(target) == attempt.number:
             del self._targets_on_trial[target]
-        if not exchange.trials:
-            self._trials.pop(exchange.find_fingerprint(), None)
+        fingerprint = exchange.find_fingerprint()
+        is_own = self._trials.get(fingerprint) == exchange.request.key
+        if is_own and not exchange.trials:
+            del self._trials[fingerprint]
 
     def record_reply(
         self, attempt: _exchange.Attempt, reply: exchanges.Reply, now: float
--- a/src/bramleyfork/entry/controllers/_replies.py
+++ b/src/bramleyfork/entry/controllers/_replies.py
@@ -55,6 +55,7 @@
         """
         attempt = self._dispatcher.attempts.pop(reply.attempt, None)
         if attempt is None:
+            self._handle_late(reply, now)
             return None
         exchange, shard = attempt.exchange, attempt.shard
         shard.attempts.remove(attempt)
@@ -66,12 +67,7 @@
             self._dispatcher.carriers.start_cooldown(
                 attempt.carrier_address, now
             )
-        self._dispatcher.quarantine.record_reply(attempt, reply, now)
-        fault = self._dispatcher.target_selector.record_reply(
-            attempt, reply, now
-        )
-        if fault is not None:
-            self._fault_writer.append(fault)
+        self._record_result(attempt, reply, now)
         if is_good and shard.reply is None:
             exchange.set_reply(shard, _limit_part(exchange.route, reply))
             self._record_latency(attempt, now)
@@ -82,6 +78,28 @@
             self._retry(exchange, shard, now)
         return exchange
 
+    def _record_result(
+        self, attempt: _exchange.Attempt, reply: exchanges.Reply, now: float
+    ) -> None:
+        """Records what the result of an attempt says of request and target."""
+        self._dispatcher.quarantine.record_reply(attempt, reply, now)
+        fault = self._dispatcher.target_selector.record_reply(
+            attempt, reply, now
+        )
+        if fault is not None:
+            self._fault_writer.append(fault)
+
+    def _handle_late(self, reply: exchanges.Reply, now: float) -> None:
+        """Handles the result of an attempt that was aborted meanwhile.
+
+        Only the end of its target matters.
+        """
+        attempt = self._dispatcher.aborted.pop(reply.attempt)
+        if attempt is None or reply.fault != "ended":
+            return
+        self._record_result(attempt, reply, now)
+        self._log_failure(attempt, reply, now)
+
     def handle_merged(
         self,
         merged: carrier_records.MergedReply,
@@ -155,10 +173,17 @@
         shard.fault = fault
         if not reply.fault:
             shard.failure = reply
+        self._log_failure(attempt, reply, now)
+
+    def _log_failure(
+        self, attempt: _exchange.Attempt, reply: exchanges.Reply, now: float
+    ) -> None:
+        exchange = attempt.exchange
+        fault = reply.fault or f"status_{reply.status}"
         self._metrics.count("attempts_failed", fault)
         fields = {
             "request": exchange.request.request_id.decode("latin-1"),
-            "service": shard.service,
+            "service": attempt.shard.service,
             "target": attempt.target.target,
             "fault": fault,
             "verdict": reply.verdict.value,
--- a/src/bramleyfork/entry/controllers/carriers.py
+++ b/src/bramleyfork/entry/controllers/carriers.py
@@ -12,6 +12,7 @@
 from bramleyfork.entry import carrier_records
 from bramleyfork.entry import components
 from bramleyfork.entry import exchanges
+from bramleyfork.entry.controllers import _aborted_attempts
 from bramleyfork.entry.controllers import _connection_limits
 from bramleyfork.entry.controllers import _evidence
 from bramleyfork.entry.decisions import fingerprints
@@ -74,6 +75,7 @@
     __slots__ = (
         "_calls",
         "_attempts",
+        "_aborted",
         "_numbers",
         "_timers",
         "_limits",
@@ -86,6 +88,9 @@
         self._calls: dict[tuple[int, int], _Call] = {}
         # Call and the calling host's attempt number by this host's number.
         self._attempts: dict[int, tuple[_Call, int]] = {}
+        self._aborted: _aborted_attempts.AbortedAttempts[tuple[_Call, int]] = (
+            _aborted_attempts.AbortedAttempts()
+        )
         # Negative numbers, to tell them from attempts for this host's callers.
         self._numbers = itertools.count(-1, -1)
         self._timers: list[tuple[float, int, tuple[int, int]]] = []
@@ -184,6 +189,7 @@
     def _handle_reply(self, reply: exchanges.Reply) -> None:
         found = self._attempts.pop(reply.attempt, None)
         if found is None:
+            self._handle_late(reply)
             return
         call, attempt = found
         del call.pending[attempt]
@@ -197,6 +203,15 @@
         if not call.pending or call.is_flushed or call.failures:
             self._flush(call)
 
+    def _handle_late(self, reply: exchanges.Reply) -> None:
+        """Returns the end of a target whose attempt was aborted meanwhile."""
+        found = self._aborted.pop(reply.attempt)
+        if found is None or reply.fault != "ended":
+            return
+        call, attempt = found
+        call.failures.append((attempt, reply.fault, reply.verdict.value))
+        self._flush(call)
+
     def _flush(self, call: _Call) -> None:
         if call.replies or call.failures:
             body = gathers.merge_records(
@@ -223,6 +238,7 @@
             number = call.pending.pop(attempt, None)
             if number is not None:
                 del self._attempts[number]
+                self._aborted.add(number, (call, attempt), self._now)
                 self.get_writer("carried_aborts").append(number)
         call.replies = [r for r in call.replies if r[0] not in attempts]
         if not call.pending:
--- a/src/bramleyfork/entry/transports/carriers.py
+++ b/src/bramleyfork/entry/transports/carriers.py
@@ -244,16 +244,18 @@
                     "expected a Result record"
                 )
             return
+        # The end of a target is also returned for an attempt that was aborted.
+        for attempt, fault, verdict in record.failures:
+            self.get_writer("via_failures").append(
+                carrier_records.build_failure(attempt, fault, verdict)
+            )
         call = carrier_stream.pending_calls.get(record.number)
         if call is None:
             return
         key, unanswered = call
-        for attempt, fault, verdict in record.failures:
+        for attempt, _, _ in record.failures:
             unanswered.discard(attempt)
             self._call_by_attempt.pop(attempt, None)
-            self.get_writer("via_failures").append(
-                carrier_records.build_failure(attempt, fault, verdict)
-            )
         for attempt, _ in record.parts:
             unanswered.discard(attempt)
             self._call_by_attempt.pop(attempt, None)
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -268,9 +268,11 @@
         )
 
     def _abort(self, number: int) -> None:
-        attempt = self._attempts.pop(number, None)
-        if attempt is None:
+        attempt = self._attempts.get(number)
+        # Whether its target ended is reported even if nobody waits for it.
+        if attempt is None or attempt in attempt.pool.lost:
             return
+        del self._attempts[number]
         connection = attempt.connection
         if connection is not None:
             self._by_connection.pop(connection, None)
--- a/tests/entry/controllers/test_entry_carriers.py
+++ b/tests/entry/controllers/test_entry_carriers.py
@@ -127,6 +127,22 @@
     assert [number for number, _ in result.parts] == [103]
 
 
+def test_the_end_of_a_target_is_returned_for_an_aborted_attempt():
+    # Guards against a carried request that is never blamed for the ends of
+    # targets that its calling host doesn't wait for.
+    harness = start()
+    sends = call(harness)
+    deliver(harness, carrier_records.Abort(number=1, attempts=(101, 102, 103)))
+    harness.append(
+        "replies",
+        creators.create_fault(sends[0].attempt, "ended"),
+        creators.create_fault(sends[1].attempt, "lost"),
+    )
+    harness.step()
+    (result,) = read_results(harness)
+    assert result.failures == ((101, "ended", "MAY_HAVE_RUN"),)
+
+
 def test_a_closed_stream_aborts_its_attempts():
     harness = start()
     sends = call(harness)
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -8,6 +8,7 @@
 from bramleyfork.entry.controllers import exchanges as controller
 from bramleyfork.entry.controllers import lifecycle
 from bramleyfork.entry.decisions import matching
+from bramleyfork.entry.decisions import observations as observation_kinds
 from tests.entry import boards
 from tests.entry import creators
 from tests.entry.decisions import test_entry_gossip as member_updates
@@ -335,6 +336,35 @@
     assert response.status == 500
 
 
+def test_the_end_of_a_target_counts_although_its_caller_has_left():
+    # Guards against a request that crashes targets and is never blamed, as its
+    # attempt is not needed any more when the end is reported.
+    harness = start_gather()
+    send = send_request(harness)[0]
+    harness.append("departures", 1)
+    harness.step()
+    fault = creators.create_fault(send.attempt, "ended")
+    harness.append("replies", fault, fault)
+    harness.step()
+    (finding,) = harness.read_new_records("request_findings")
+    assert (finding.kind, finding.service) == (
+        observation_kinds.CRASH,
+        send.target.service,
+    )
+    (target_fault,) = harness.read_new_records("target_faults")
+    assert target_fault.target == send.target
+
+
+def test_a_reply_that_is_lost_late_is_no_evidence():
+    harness = start_gather()
+    send = send_request(harness)[0]
+    harness.append("departures", 1)
+    harness.step()
+    harness.append("replies", creators.create_fault(send.attempt, "lost"))
+    harness.step()
+    assert harness.read_new_records("request_findings") == []
+
+
 def test_a_disconnect_aborts_all_attempts_of_the_caller():
     harness = start_gather()
     sends = send_request(harness)
--- a/tests/entry/transports/test_entry_carriers_transport.py
+++ b/tests/entry/transports/test_entry_carriers_transport.py
@@ -109,6 +109,21 @@
     run(work)
 
 
+def test_a_failure_of_an_aborted_attempt_is_received():
+    # Guards against the end of a target that is forgotten with its attempt.
+    async def work():
+        async with run_host() as own, run_host() as other:
+            send_through(own, other, 1)
+            (received,) = await wait_for_records(other, "carried_arrivals")
+            own.append("aborts", 1)
+            await wait_for_records(other, "carried_arrivals")
+            respond(other, received, failures=((1, "ended", "MAY_HAVE_RUN"),))
+            (failure,) = await wait_for_records(own, "via_failures")
+            assert (failure.attempt, failure.fault) == (1, "ended")
+
+    run(work)
+
+
 def test_attempts_through_an_unreachable_host_have_not_run():
     async def work():
         async with run_host() as own, run_host() as other:
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -699,6 +699,33 @@
     run(work)
 
 
+async def refuse_late(*args, **options):
+    """Fails to connect as a distant target that has ended."""
+    del args, options
+    await asyncio.sleep(0.03)
+    raise ConnectionRefusedError
+
+
+def test_the_end_of_a_target_is_reported_for_an_aborted_attempt(monkeypatch):
+    # Guards against a request that is never blamed, as it is always answered
+    # by others before it is known that its target ended.
+    async def work():
+        async with run_targets() as (harness, replica):
+            await ask(harness)
+            monkeypatch.setattr(
+                asyncio.get_running_loop(), "create_connection", refuse_late
+            )
+            replica.reply_fault = lambda request, reply: None
+            number = send(harness)
+            (pool,) = harness.component._pools.values()
+            await component_runner.wait_for(lambda: pool.lost)
+            harness.append("aborts", number)
+            (reply,) = await wait_for_replies(harness, 1)
+            assert (reply.attempt, reply.fault) == (number, "ended")
+
+    run(work)
+
+
 def test_a_target_that_keeps_other_connections_has_not_ended():
     # Guards against blame for a request at a target that only refuses new
     # connections, as it has reached its limit.
