Tell the end of a target from a lost reply in the daemon, too

The daemon took every connection that broke before a reply for the end of the target, so a reset blamed the requests in flight; and one that broke later never, so a request whose targets end halfway through their reply was never a suspect. A reply that ended in its head was decoded as one without a body, and one that ended in its body as one that is not JSON.

Now a target has ended if it refuses a connection right after the loss, however far the reply got. Everything else is a "bad_reply"; other connections are closed only if a reply was cut or belonged to another attempt, not after a plain loss. An answer belongs to one attempt already: each has an id of its own, which the target echoes.

--- a/src/bramleyfork/core/replies.py
+++ b/src/bramleyfork/core/replies.py
@@ -6,7 +6,7 @@
 from bramleyfork.core import verdicts
 
 # Outcomes of an attempt. Only "ok" comes with records. "died" means that the
-# connection broke after the request was sent and before a reply began.
+# target's process ended before its reply was complete.
 REPLY_CODES = (
     "ok",
     "wrong_snapshot",  # The target does not serve that snapshot or segment.
@@ -24,7 +24,7 @@
     "quarantined",
     "owner_lost",
     # The reply has another attempt id, segment or snapshot than requested, is
-    # truncated or can't be decoded.
+    # truncated or lost though the target has not ended, or can't be decoded.
     "bad_reply",
     "rejected",  # The target rejected the request as invalid.
 )
--- a/src/bramleyfork/transports/target_connections.py
+++ b/src/bramleyfork/transports/target_connections.py
@@ -3,6 +3,7 @@
 import collections.abc
 import http.client
 import select
+import socket
 import threading
 import time
 
@@ -11,6 +12,26 @@
 import urllib3.response
 
 
+def is_refused(address: str, *, source_ip: str, timeout_s: float) -> bool:
+    """Returns whether a target refuses connections, as its process has ended.
+
+    Args:
+      address: address:port of the target.
+      source_ip: IP address to connect from.
+      timeout_s: Time in seconds after which it counts as not refused.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        with socket.create_connection(
+            (host, int(port)), timeout_s, source_address=(source_ip, 0)
+        ):
+            return False
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+
+
 class PoolExhaustedError(Exception):
     """No connection of a pool became free before the timeout."""
 
@@ -132,6 +153,10 @@
             raise IncompleteReplyError(
                 f"body of the reply is longer than {limit} bytes"
             )
+        if response.length_remaining:
+            raise IncompleteReplyError(
+                f"body of the reply lacks {response.length_remaining} bytes"
+            )
         return response, body
 
 
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -20,6 +20,8 @@
 
 _CONNECT_TIMEOUT_S = 1.0
 _CANCEL_TIMEOUT_S = 0.5
+# Timeout of the check of whether a target that lost a reply has ended.
+_END_CHECK_TIMEOUT_S = 0.05
 _MAX_BODY_BYTES = 4 * 1024 * 1024  # Larger replies become "bad_reply".
 # Longest time until an idle thread notices a stop.
 _STOP_CHECK_INTERVAL_S = 5.0
@@ -114,17 +116,18 @@
         except _NETWORK_ERRORS as error:
             return self._build_connect_failure(attempt, started_at, str(error))
         else:
-            result, reusable = self._exchange(connection, attempt)
+            outcome = self._exchange(connection, attempt)
+            reusable = outcome.reusable
         finally:
             if reusable:
                 pool.release_connection(connection)
             else:
                 pool.discard(connection)
-        if result.code == "bad_reply":
+        if outcome.mixed_up:
             # The target may have mixed up replies on its other connections
             # too, so none of them is used for another attempt.
             pool.close_all()
-        return result
+        return outcome.result
 
     def _build_connect_failure(
         self, attempt: replies.Attempt, started_at: float, detail: str
@@ -142,44 +145,88 @@
         self,
         connection: target_connections.Connection,
         attempt: replies.Attempt,
-    ) -> tuple[replies.AttemptResult, bool]:
-        """Sends an attempt on an open connection and reads the reply.
-
-        Returns:
-          The result, and whether the connection can be reused.
-        """
+    ) -> "_Outcome":
+        """Sends an attempt on an open connection and reads the reply."""
         request = attempt.request
         sent_at = self.clock.read_monotonic()
         # The process may have been suspended since the decision to send, so
         # deadline and lease are checked immediately before the send.
         if request.deadline <= sent_at:
-            return _build_failure(
-                attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0
-            ), True
+            return _Outcome(
+                result=_build_failure(
+                    attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0
+                ),
+                reusable=True,
+            )
         if not lease_decisions.is_held(self._lease.get("current"), sent_at):
-            return _build_failure(
-                attempt, "no_lease", verdicts.Verdict.NOT_RUN, 0.0
-            ), True
+            return _Outcome(
+                result=_build_failure(
+                    attempt, "no_lease", verdicts.Verdict.NOT_RUN, 0.0
+                ),
+                reusable=True,
+            )
         try:
             reply = self._send_and_receive(connection, request, sent_at)
         except target_connections.InvalidRequestError as error:
-            return _build_failure(
-                attempt, "rejected", verdicts.Verdict.NOT_RUN, 0.0, str(error)
-            ), False
-        except target_connections.IncompleteReplyError as error:
-            # The target had run the request when it began to reply, so this
-            # does not indicate that the request crashes targets.
-            code, detail = "bad_reply", str(error)
+            return _Outcome(
+                result=_build_failure(
+                    attempt,
+                    "rejected",
+                    verdicts.Verdict.NOT_RUN,
+                    0.0,
+                    str(error),
+                )
+            )
         except TimeoutError as error:
-            code, detail = "timeout", str(error)
+            return _Outcome(
+                result=self._build_loss(attempt, "timeout", sent_at, error)
+            )
+        except target_connections.IncompleteReplyError as error:
+            code = self._find_loss_code(attempt)
+            return _Outcome(
+                result=self._build_loss(attempt, code, sent_at, error),
+                mixed_up=code == "bad_reply",
+            )
         except _NETWORK_ERRORS as error:
-            code, detail = "died", str(error)
-        else:
-            result = self._decode(attempt, reply, sent_at)
-            return result, reply.reusable and result.code != "bad_reply"
-        elapsed_s = self.clock.read_monotonic() - sent_at
-        verdict = verdicts.Verdict.MAY_HAVE_RUN
-        return _build_failure(attempt, code, verdict, elapsed_s, detail), False
+            code = self._find_loss_code(attempt)
+            return _Outcome(
+                result=self._build_loss(attempt, code, sent_at, error)
+            )
+        result = self._decode(attempt, reply, sent_at)
+        if result.code != "bad_reply":
+            return _Outcome(result=result, reusable=reply.reusable)
+        # A reply that ends in its head is decoded as one without a body.
+        if not reply.reusable:
+            result = result.replace(code=self._find_loss_code(attempt))
+        return _Outcome(result=result, mixed_up=result.code == "bad_reply")
+
+    def _find_loss_code(self, attempt: replies.Attempt) -> str:
+        """Returns the code of an attempt whose connection was lost.
+
+        Only the end of its target indicates that a request crashes targets,
+        however far the reply got.
+        """
+        has_ended = target_connections.is_refused(
+            attempt.address,
+            source_ip=self._find_source_ip(),
+            timeout_s=_END_CHECK_TIMEOUT_S,
+        )
+        return "died" if has_ended else "bad_reply"
+
+    def _build_loss(
+        self,
+        attempt: replies.Attempt,
+        code: str,
+        sent_at: float,
+        error: Exception,
+    ) -> replies.AttemptResult:
+        return _build_failure(
+            attempt,
+            code,
+            verdicts.Verdict.MAY_HAVE_RUN,
+            self.clock.read_monotonic() - sent_at,
+            str(error),
+        )
 
     def _send_and_receive(
         self,
@@ -274,10 +321,37 @@
     ) -> target_connections.TargetConnectionPool:
         return target_connections.TargetConnectionPool(
             address=attempt.address,
-            source_ip=self.settings.peer_address.rpartition(":")[0],
+            source_ip=self._find_source_ip(),
             limit=attempt.connection_limit,
         )
 
+    def _find_source_ip(self) -> str:
+        return self.settings.peer_address.rpartition(":")[0]
+
+
+class _Outcome:
+    """What became of an attempt and of its connection.
+
+    Attributes:
+      result: The result of the attempt.
+      reusable: Whether the connection can be used for another attempt.
+      mixed_up: Whether other connections to the target may return replies that
+        belong to other attempts.
+    """
+
+    __slots__ = ("result", "reusable", "mixed_up")
+
+    def __init__(
+        self,
+        *,
+        result: replies.AttemptResult,
+        reusable: bool = False,
+        mixed_up: bool = False,
+    ):
+        self.result = result
+        self.reusable = reusable
+        self.mixed_up = mixed_up
+
 
 class _Reply:
     """A complete reply of a target.
