Don't return the reply of a target that ended as a whole one

A reply without a declared length is complete when its connection ends, and a target that ends closes its connections in the same way. Half a body then reached the caller as a success, and cleared the request of the suspicion of having ended the target.

test_a_reply_without_length_ends_with_its_connection asks its second request without that fault, as the second reply would now be checked by a third connection.

--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -20,15 +20,18 @@
       pool: The connections to the target.
       connection: The connection it was sent on; None while it is queued.
       sent_at: Monotonic time at which it was sent; 0 while it is queued.
+      response: A response that ended with its connection, while it is not known
+        yet whether the target ended; None for none.
     """
 
-    __slots__ = ("send", "pool", "connection", "sent_at")
+    __slots__ = ("send", "pool", "connection", "sent_at", "response")
 
     def __init__(self, *, send: exchanges.TargetRequest, pool: "Pool"):
         self.send = send
         self.pool = pool
         self.connection: http_client.ClientConnection | None = None
         self.sent_at = 0.0
+        self.response: http_client.HttpResponse | None = None
 
     @property
     def request_id(self) -> bytes:
@@ -50,8 +53,8 @@
       count: Number of connections, including those that are being opened.
       opening: Number of connections that are being opened.
       waiting: Queued attempts.
-      lost: Attempts whose connection closed before their reply was complete,
-        while it is not known yet whether the target ended.
+      lost: Attempts whose connection closed before their reply was known to be
+        complete, while it is not known yet whether the target ended.
       is_refused: Whether the target refused the connection that was opened
         last.
     """
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -55,9 +55,17 @@
 
 
 class HttpResponse:
-    """A parsed response."""
+    """A parsed response.
 
-    __slots__ = ("status", "headers", "body")
+    Attributes:
+      status: Status code.
+      headers: Names and values of its header fields.
+      body: Whole body.
+      ends_with_connection: Whether only the end of its connection shows that it
+        is complete, as its length is not declared.
+    """
+
+    __slots__ = ("status", "headers", "body", "ends_with_connection")
 
     def __init__(
         self,
@@ -65,10 +73,12 @@
         status: int,
         headers: tuple[tuple[bytes, bytes], ...],
         body: bytes,
+        ends_with_connection: bool = False,
     ):
         self.status = status
         self.headers = headers
         self.body = body
+        self.ends_with_connection = ends_with_connection
 
     def get_header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header field; None without the field.
@@ -255,7 +265,7 @@
         if not self.is_busy or self._status < 200:
             return None
         if not self._has_declared_length and not self._is_complete:
-            self._finish(keeps_alive=False)
+            self._finish(is_connection_ended=True)
         return None
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -354,7 +364,7 @@
         self._on_response(self, None, fault)
         self.abort()
 
-    def _finish(self, *, keeps_alive: bool = True) -> None:
+    def _finish(self, *, is_connection_ended: bool = False) -> None:
         if self._is_oversized:
             self._fail("oversized")
             return
@@ -362,12 +372,13 @@
             status=self._status,
             headers=tuple(self._headers),
             body=bytes(self._body),
+            ends_with_connection=is_connection_ended,
         )
         now = self._loop.time()
         self.is_busy = False
         self.last_used_at = now
         keeps_alive = (
-            keeps_alive
+            not is_connection_ended
             and not self._has_surplus_data
             and self._keeps_alive
             and self._transport is not None
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -293,12 +293,27 @@
         if attempt is None:
             return
         if response is None and fault == "lost":
-            self._check_loss(attempt, connection)
+            attempt.pool.remove(connection, self._loop.time())
+            self._check_end(attempt)
             return
-        self._attempts.pop(attempt.send.attempt, None)
         if response is None:
             self._report_fault(attempt, fault, verdicts.Verdict.MAY_HAVE_RUN)
             return
+        if response.ends_with_connection:
+            # A target that ends closes its connections in the same way.
+            attempt.response = response
+            self._check_end(attempt)
+            return
+        self._handle_response(attempt, response)
+
+    def _handle_response(
+        self,
+        attempt: _target_pools.Attempt,
+        response: http_client.HttpResponse,
+    ) -> None:
+        """Reports a complete response and releases its connection."""
+        connection = attempt.connection
+        self._attempts.pop(attempt.send.attempt, None)
         reply = _target_replies.build_reply(
             attempt.send,
             response,
@@ -327,20 +342,14 @@
             return
         self._assign_or_release(attempt.pool, connection, now)
 
-    def _check_loss(
-        self,
-        attempt: _target_pools.Attempt,
-        connection: http_client.ClientConnection,
-    ) -> None:
-        """Finds out whether a target ended or only lost one reply.
+    def _check_end(self, attempt: _target_pools.Attempt) -> None:
+        """Finds out whether a target ended or only closed one connection.
 
-        It does so by opening the connection that replaces the lost one. The
+        It does so by opening the connection that replaces the closed one. The
         attempt is reported once that has succeeded or failed.
         """
         pool = attempt.pool
-        attempt.connection = None
         pool.lost.append(attempt)
-        pool.remove(connection, self._loop.time())
         if len(pool.lost) > 1:
             return
         pool.is_refused = False
@@ -355,12 +364,14 @@
     ) -> None:
         lost, pool.lost = pool.lost, []
         for attempt in lost:
-            if attempt.send.attempt in self._attempts:
-                self._report_fault(
-                    attempt,
-                    "ended" if has_ended else "lost",
-                    verdicts.Verdict.MAY_HAVE_RUN,
-                )
+            if attempt.response is not None and not pool.is_down():
+                self._handle_response(attempt, attempt.response)
+                continue
+            self._report_fault(
+                attempt,
+                "ended" if has_ended else "lost",
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
 
     def _report_fault(
         self,
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -534,6 +534,7 @@
             replica.reply_fault = build_reply_fault(is_framed=False)
             reply = await ask(harness)
             assert (reply.status, reply.body) == (200, RECORDS)
+            replica.reply_fault = None
             await ask(harness)
             assert replica.server.connections == 2
 
@@ -699,6 +700,20 @@
     run(work)
 
 
+def test_a_reply_without_length_of_a_target_that_ended_is_not_whole():
+    # Guards against half of a body that is returned as a whole one, and clears
+    # the request that ended the target.
+    async def work():
+        async with run_targets() as (harness, replica):
+            unframed = WHOLE_HEAD.replace(b"Content-Length: 16\r\n", b"")
+            reply = await lose(
+                harness, replica, is_down=True, sent=unframed + RECORDS[:8]
+            )
+            assert (reply.fault, reply.verdict) == ("ended", MAY_HAVE_RUN)
+
+    run(work)
+
+
 async def refuse_late(*args, **options):
     """Fails to connect as a distant target that has ended."""
     del args, options
