End the check of a loss with that loss

The timer of a check went on after the check had ended, and cut a later one of the same target short: an end that was 20 ms away then counted as a lost reply. The timer is cancelled with its check.

Failed before: test_the_check_of_a_loss_does_not_end_with_an_earlier_one.

--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -1,5 +1,6 @@
 """Pools of the connections to targets, with the attempts that wait for one."""
 
+import asyncio
 import collections
 
 from bramleyfork.entry import exchanges
@@ -55,6 +56,7 @@
       waiting: Queued attempts.
       lost: Attempts whose connection closed before their reply was known to be
         complete, while it is not known yet whether the target ended.
+      check_timer: Ends the check of whether the target ended; None without one.
       is_refused: Whether the target refused the connection that was opened
         last.
     """
@@ -66,6 +68,7 @@
         "opening",
         "waiting",
         "lost",
+        "check_timer",
         "is_refused",
         "_closing_at",
         "_closing_count",
@@ -79,6 +82,7 @@
         self.opening = 0
         self.waiting: collections.deque[Attempt] = collections.deque()
         self.lost: list[Attempt] = []
+        self.check_timer: asyncio.TimerHandle | None = None
         self.is_refused = False
         # Number of connections that the target has closed together, and the
         # monotonic time at which the first one closed.
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -353,7 +353,7 @@
         if len(pool.lost) > 1:
             return
         pool.is_refused = False
-        self._loop.call_later(
+        pool.check_timer = self._loop.call_later(
             _END_CHECK_TIMEOUT_S,
             lambda: self._settle_losses(pool, has_ended=pool.is_down()),
         )
@@ -362,6 +362,8 @@
     def _settle_losses(
         self, pool: _target_pools.Pool, *, has_ended: bool
     ) -> None:
+        if pool.check_timer is not None:
+            pool.check_timer.cancel()
         lost, pool.lost = pool.lost, []
         for attempt in lost:
             if attempt.response is not None and not pool.is_down():
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -714,6 +714,26 @@
     run(work)
 
 
+def test_the_check_of_a_loss_does_not_end_with_an_earlier_one(monkeypatch):
+    # Guards against the end of a distant target that counts as a lost reply.
+    async def refuse_late(*args, **options):
+        del args, options
+        await asyncio.sleep(0.03)
+        raise ConnectionRefusedError
+
+    async def work():
+        async with run_targets() as (harness, replica):
+            await lose(harness, replica, is_down=False, sent=b"")
+            await asyncio.sleep(0.03)
+            monkeypatch.setattr(
+                asyncio.get_running_loop(), "create_connection", refuse_late
+            )
+            reply = await lose(harness, replica, is_down=True, sent=b"")
+            assert reply.fault == "ended"
+
+    run(work)
+
+
 async def refuse_late(*args, **options):
     """Fails to connect as a distant target that has ended."""
     del args, options
