Don't take a reset of connections to several targets for their ends

If the network reset all connections of a host, each target with several connections seemed to have ended and started again at once, and all requests in flight became suspects on all hosts. Targets that lose their connections within 50 ms of each other are now taken for a reset; one that refuses connections afterwards has ended all the same.

Failed before: test_connections_to_several_targets_that_are_reset_show_no_end.

--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -59,6 +59,8 @@
       check_timer: Ends the check of whether the target ended; None without one.
       is_refused: Whether the target refused the connection that was opened
         last.
+      lost_all_at: Monotonic time at which the target last closed several
+        connections, all that were open, at once; 0 for never.
     """
 
     __slots__ = (
@@ -70,6 +72,7 @@
         "lost",
         "check_timer",
         "is_refused",
+        "lost_all_at",
         "_closing_at",
         "_closing_count",
         "_failed_requests",
@@ -84,6 +87,7 @@
         self.lost: list[Attempt] = []
         self.check_timer: asyncio.TimerHandle | None = None
         self.is_refused = False
+        self.lost_all_at = 0.0
         # Number of connections that the target has closed together, and the
         # monotonic time at which the first one closed.
         self._closing_at = 0.0
@@ -169,6 +173,8 @@
             self._closing_at = now
             self._closing_count = 0
         self._closing_count += 1
+        if self.has_lost_all(now):
+            self.lost_all_at = now
 
     def is_down(self) -> bool:
         """Returns whether the target refuses connections and has closed all.
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -20,6 +20,9 @@
 # Time for which the report of a lost attempt waits for the check of whether its
 # target ended.
 _END_CHECK_TIMEOUT_S = 0.05
+# Targets that lose their connections within this time of each other lose them
+# together.
+_RESET_TOGETHER_S = 0.05
 _MAX_QUEUED_PER_TARGET = 16  # Attempts that are queued for one target.
 # Maximum idle time of a connection that is reused for a request that may run
 # only once. If the target closes the connection when the request is sent, it is
@@ -208,7 +211,9 @@
             return
         pool.opening -= 1
         pool.is_refused = False
-        self._settle_losses(pool, has_ended=pool.has_lost_all(loop.time()))
+        self._settle_losses(
+            pool, has_ended=self._has_restarted(pool, loop.time())
+        )
         pool.add(connection)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -216,6 +221,18 @@
         connection.reusable_until = now + _CONNECT_TIMEOUT_S
         self._assign_or_release(pool, connection, now)
 
+    def _has_restarted(self, pool: _target_pools.Pool, now: float) -> bool:
+        """Returns whether a target ended and listens again already.
+
+        Connections to several targets that close at once were probably reset on
+        their way.
+        """
+        return pool.has_lost_all(now) and not any(
+            abs(other.lost_all_at - pool.lost_all_at) < _RESET_TOGETHER_S
+            for other in self._pools.values()
+            if other is not pool
+        )
+
     def _fail_waiting(self, pool: _target_pools.Pool, fault: str) -> None:
         while pool.waiting:
             attempt = pool.waiting.popleft()
--- a/src/standins/entry/http_stand_in.py
+++ b/src/standins/entry/http_stand_in.py
@@ -139,6 +139,10 @@
     async def close(self) -> None:
         """Closes the listener and all connections."""
         self.stop_listening()
+        await self.reset_connections()
+
+    async def reset_connections(self) -> None:
+        """Closes all connections without answers; it still listens."""
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -714,13 +714,15 @@
     run(work)
 
 
+async def refuse_late(*args, **options):
+    """Fails to connect as a distant target that has ended."""
+    del args, options
+    await asyncio.sleep(0.03)
+    raise ConnectionRefusedError
+
+
 def test_the_check_of_a_loss_does_not_end_with_an_earlier_one(monkeypatch):
     # Guards against the end of a distant target that counts as a lost reply.
-    async def refuse_late(*args, **options):
-        del args, options
-        await asyncio.sleep(0.03)
-        raise ConnectionRefusedError
-
     async def work():
         async with run_targets() as (harness, replica):
             await lose(harness, replica, is_down=False, sent=b"")
@@ -734,13 +736,6 @@
     run(work)
 
 
-async def refuse_late(*args, **options):
-    """Fails to connect as a distant target that has ended."""
-    del args, options
-    await asyncio.sleep(0.03)
-    raise ConnectionRefusedError
-
-
 def test_the_end_of_a_target_is_reported_for_an_aborted_attempt(monkeypatch):
     # Guards against a request that is never blamed, as it is always answered
     # by others before it is known that its target ended.
@@ -803,6 +798,51 @@
     run(work)
 
 
+def test_connections_to_several_targets_that_are_reset_show_no_end(
+    monkeypatch,
+):
+    # Guards against blame for all requests of a host whose network resets its
+    # connections.
+    async def work():
+        other = replicas.Replica(name="t2", records=RECORDS)
+        await other.open()
+        async with run_targets() as (harness, replica):
+            found = [
+                harness.target,
+                creators.create_target("t2", address=other.address),
+            ]
+            replica.service_time_s = other.service_time_s = 0.02
+            for harness.target in found * 2:
+                send(harness)
+            await wait_for_replies(harness, 4)
+            loop = asyncio.get_running_loop()
+            connect = loop.create_connection
+
+            async def connect_late(*args, **options):
+                await asyncio.sleep(0.01)
+                return await connect(*args, **options)
+
+            monkeypatch.setattr(loop, "create_connection", connect_late)
+            replica.service_time_s = other.service_time_s = 1.0
+            for harness.target in found * 2:
+                send(harness)
+            await component_runner.wait_for(
+                lambda: (
+                    len(replica.started_requests) == 4
+                    and len(other.started_requests) == 4
+                )
+            )
+            await asyncio.gather(
+                replica.server.reset_connections(),
+                other.server.reset_connections(),
+            )
+            replies = await wait_for_replies(harness, 4)
+            assert {reply.fault for reply in replies} == {"lost"}
+        await other.close()
+
+    run(work)
+
+
 def test_an_aborted_attempt_is_no_sign_of_an_end():
     # Guards against hedges that are cut off here and count as ends.
     async def work():
