Don't pass on a status that promises "not run" without a proof

A target's 503, 429, 421 or 408 without its not-run header was passed on for requests that may run once. Callers take these statuses for a promise that the request has not run and never will, and send it again, though only the header states that. Such a request is now answered 502 without the target's signature. Statuses for requests that may be repeated are unchanged.

Failed before: test_a_refusal_that_promises_nothing_is_no_promise_to_the_caller (503 and 429 on a route that is not idempotent).

--- a/src/bramleyfork/entry/controllers/_outcomes.py
+++ b/src/bramleyfork/entry/controllers/_outcomes.py
@@ -3,6 +3,7 @@
 import typing
 
 from bramleyfork.core import verdicts
+from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import http_headers
 from bramleyfork.entry.controllers import _exchange
@@ -14,6 +15,9 @@
     ("connect", "no_room", "expired", "not_usable", "carrier", "quarantined")
 )
 
+# Statuses by which callers know that a request has not run and never will.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 class Outcome:
     """A response and its label in metrics and logs."""
@@ -49,20 +53,24 @@
         shard = exchange.shards[0]
         if shard.reply is not None:
             return _forward_reply(exchange, shard.reply, "complete")
-        if _is_final_failure(shard.failure):
+        if _is_final_failure(exchange.route, shard.failure):
             return _forward_reply(exchange, shard.failure, "target_failed")
     return _build_failure(exchange, now)
 
 
-def _is_final_failure(failure: exchanges.Reply | None) -> bool:
+def _is_final_failure(
+    route: declarations.Route, failure: exchanges.Reply | None
+) -> bool:
     """Returns whether a target's failure reply is passed on to the caller.
 
     A reply with the verdict NOT_RUN holds for one target only. The host then
-    answers itself, with the verdicts of all attempts combined.
+    answers itself, with the verdicts of all attempts combined. It also does so
+    if the status promises a caller that a request has not run which may have
+    and isn't idempotent.
     """
-    return (
-        failure is not None and failure.verdict is not verdicts.Verdict.NOT_RUN
-    )
+    if failure is None or failure.verdict is verdicts.Verdict.NOT_RUN:
+        return False
+    return route.idempotent or failure.status not in _NOT_RUN_STATUSES
 
 
 def _forward_reply(
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -336,6 +336,22 @@
     assert response.status == 500
 
 
+@pytest.mark.parametrize(
+    ("idempotent", "status", "answered"),
+    [(False, 503, 502), (False, 429, 502), (False, 500, 500), (True, 503, 503)],
+)
+def test_a_refusal_that_promises_nothing_is_no_promise_to_the_caller(
+    idempotent, status, answered
+):
+    # Guards against a 503 for a request that ran and isn't idempotent: only the
+    # not-run header of a target states that it did not run.
+    harness = start_single(idempotent=idempotent, attempts=1)
+    (send,) = send_request(harness)
+    answer(harness, send, status=status)
+    (response,) = harness.read_new_records("responses")
+    assert response.status == answered
+
+
 def test_the_end_of_a_target_counts_although_its_caller_has_left():
     # Guards against a request that crashes targets and is never blamed, as its
     # attempt is not needed any more when the end is reported.
