Read requests that offer an upgrade with their bodies

Cause: the parser reports a request with an offer as complete after its head and then stops. The request was passed on before that was noticed.

Change: a request with an offer isn't passed on at the end of its head. Its head is parsed again without the offer, followed by the rest of the data, so that the body is counted like any other. CONNECT is refused with 400 before anything is sent.

--- a/src/bramleyfork/entry/transports/server_connections.py
+++ b/src/bramleyfork/entry/transports/server_connections.py
@@ -205,9 +205,7 @@
         # of chunks, their extensions, and trailers.
         self._framing_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refuse(400)
+            self._feed_parser(data)
         except httptools.HttpParserError:
             self.refuse(400)
         else:
@@ -215,6 +213,50 @@
                 self._framing_bytes = 0
             self._check_framing_size()
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Parses data and ignores offers to upgrade the connection.
+
+        The parser ends a request with such an offer with its head, whatever its
+        length. A server may ignore the offer (RFC 9110, section 7.8), so the
+        head is parsed again without it, followed by the rest of the data.
+
+        Raises:
+          HttpParserError: The data is malformed, or asks for a tunnel.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as upgrade:
+                if self._refused:
+                    return
+                if self._parser.get_method() == b"CONNECT":
+                    raise httptools.HttpParserError("tunnel") from upgrade
+                data = (
+                    self._encode_head_without_offer() + data[upgrade.args[0] :]
+                )
+                self._parser = httptools.HttpRequestParser(self)
+                continue
+            return
+
+    def _encode_head_without_offer(self) -> bytes:
+        lines = [
+            b"%s %s HTTP/%s"
+            % (
+                self._parser.get_method(),
+                self._url,
+                self._parser.get_http_version().encode("ascii"),
+            )
+        ]
+        lines.extend(
+            b"%s: %s" % (name, _drop_upgrade(value))
+            if name.lower() == b"connection"
+            else b"%s: %s" % (name, value)
+            for name, value in self._headers
+            # The caller was told to continue when its head was read first.
+            if name.lower() not in (b"upgrade", b"http2-settings", b"expect")
+        )
+        return b"\r\n".join([*lines, b"", b""])
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops queued requests and notifies the handler."""
         del exc
@@ -268,7 +310,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the request; passes it to the handler if none is ahead."""
-        if self._refused:
+        if self._refused or self._parser.should_upgrade():
             return
         http_request = HttpRequest(
             method=self._parser.get_method(),
@@ -357,6 +399,15 @@
             self._transport.write(data)
 
 
+def _drop_upgrade(value: bytes) -> bytes:
+    """Returns the options of a Connection field without those of an upgrade."""
+    return b", ".join(
+        option.strip()
+        for option in value.split(b",")
+        if option.strip().lower() not in (b"upgrade", b"http2-settings")
+    )
+
+
 def _measure_round_trip(sock: socket.socket) -> float:
     """Returns the kernel's round-trip time in seconds; 0 if unknown."""
     try:
--- a/tests/entry/transports/test_entry_callers.py
+++ b/tests/entry/transports/test_entry_callers.py
@@ -138,7 +138,61 @@
     run(work)
 
 
+UPGRADE_OFFERS = {
+    "h2c": b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    b"HTTP2-Settings: AAMAAABkAAQAAP__\r\n",
+    "websocket": b"Connection: upgrade\r\nUpgrade: websocket\r\n",
+    "several": b"Connection: keep-alive, Upgrade\r\nUpgrade: a/1, b\r\n",
+    "with 100-continue": b"Expect: 100-continue\r\nConnection: Upgrade\r\n"
+    b"Upgrade: h2c\r\n",
+}
+FRAMED_BODIES = {
+    "length": b"Content-Length: 5\r\n\r\nabcde",
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n"
+    b"0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 7, 10_000])
+@pytest.mark.parametrize("framing", FRAMED_BODIES)
+@pytest.mark.parametrize("offer", UPGRADE_OFFERS)
+def test_a_request_that_offers_an_upgrade_is_read_whole(
+    offer, framing, piece_bytes
+):
+    # Guards against a request that reaches its target without its body, and
+    # against a connection that is lost with the next request.
+    data = (
+        b"POST /find/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n"
+        + UPGRADE_OFFERS[offer]
+        + FRAMED_BODIES[framing]
+    ) + VALID.replace(b"r1", b"r2")
+
+    async def work():
+        async with run_callers() as harness:
+            reader, writer = await connect(harness)
+            for start in range(0, len(data), piece_bytes):
+                writer.write(data[start : start + piece_bytes])
+                await asyncio.sleep(0)
+            request = await wait_for_request(harness)
+            assert (request.method, request.body) == (b"POST", b"abcde")
+            respond(harness, request)
+            following = await wait_for_request(harness)
+            assert following.request_id == b"r2"
+            respond(harness, following)
+            status, head, _ = await read_response(reader)
+            if b"100 Continue" in head:
+                status, _, _ = await read_response(reader)
+            assert status == 200
+            assert (await read_response(reader))[0] == 200
+
+    run(work)
+
+
 BAD = {
+    "tunnel": (
+        b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\nRequest-Id: r1\r\n\r\n",
+        400,
+    ),
     "no syntax": (b"nonsense\r\n\r\n", 400),
     "two lengths": (
         HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
