Don't schedule health checks of targets whose service is unknown

Cause: the end of an evacuation makes all targets there due for a health check at once. A target of an unknown service can't be checked, so its time stayed in the past, and the controller was due at once, for ever.

Change: such a target is not due. The controller is stepped when the route table changes, which may name its service.

--- a/src/bramleyfork/entry/controllers/targets.py
+++ b/src/bramleyfork/entry/controllers/targets.py
@@ -31,8 +31,8 @@
         "target_faults",
         "probe_results",
         "target_observations",
+        "route_table",
     ),
-    passive_reads=("route_table",),
     writes=("usable", "probes"),
 )
 class Targets(components.Component):
@@ -54,7 +54,7 @@
         self._random = random.Random(self.context.incarnation + 1)
         self._health_by_target: dict[str, usability.TargetHealth] = {}
         self._evacuated: frozenset[str] = frozenset()
-        self._seen_versions = (-1, -1)
+        self._seen_versions = (-1, -1, -1)
         self._restrictions: dict[str, observations.Observation] = {}
         self._restriction_versions = (-1, -1)
         self._due_at: float | None = None
@@ -68,6 +68,7 @@
         versions = (
             self.get_table("listed_targets").version,
             self.get_table("evacuations").version,
+            self.get_table("route_table").version,
         )
         if versions != self._seen_versions:
             self._seen_versions = versions
@@ -201,15 +202,12 @@
     # Health checks and usable targets.
 
     def _probe(self) -> None:
-        table = self.get_table("route_table").get("current")
-        if table is None:
-            return
         for target in self.get_table("listed_targets").list_records():
             health = self._health_by_target[target.target]
-            service = table.services.get(target.service)
-            if not self._is_checked(target):
+            service = self._find_service(target)
+            if service is None or not self._is_checked(target):
                 continue
-            if service is None or not usability.needs_probe(
+            if not usability.needs_probe(
                 target, health, self._evacuated, self._now
             ):
                 continue
@@ -219,6 +217,13 @@
                 exchanges.Probe(target=target, path=service.health_path)
             )
 
+    def _find_service(
+        self, target: declarations.ListedTarget
+    ) -> declarations.Service | None:
+        """Returns the service of a target; None if no route table names it."""
+        table = self.get_table("route_table").get("current")
+        return table.services.get(target.service) if table else None
+
     def _choose_probe_delay(self) -> float:
         jitter = _PROBE_JITTER * (2 * self._random.random() - 1)
         return _PROBE_INTERVAL_S * (1 + jitter)
@@ -256,6 +261,8 @@
             elif (
                 health.state == usability.UNVERIFIED
                 and usability.is_in_service(target, self._evacuated)
+                # Without a service it is not known how to check a target.
+                and self._find_service(target) is not None
             ):
                 times.append(health.probe_at)
         return min(times, default=None)
--- a/tests/entry/controllers/test_entry_targets.py
+++ b/tests/entry/controllers/test_entry_targets.py
@@ -57,6 +57,22 @@
     assert list_usable(harness) == ["a"]
 
 
+def test_a_target_of_an_unknown_service_keeps_no_process_busy():
+    # Guards against a controller that is due at once, for ever, as it can't
+    # check a target whose service no route table names yet.
+    harness = start(service="s2")
+    harness.put("evacuations", "north", True)
+    harness.step()
+    harness.remove("evacuations", "north")
+    assert harness.step() is None
+    assert harness.read_new_records("probes") == []
+    route = creators.create_gather(2)
+    harness.put("route_table", "current", creators.create_table(route))
+    harness.step()
+    (probe,) = harness.read_new_records("probes")
+    assert probe.target.target == "a"
+
+
 def test_a_draining_target_is_not_used():
     harness = start()
     harness.put("listed_targets", "a", harness.target.replace(is_draining=True))
