Split the checks of ended targets and memory budgets from the transports

The checks of whether a target has ended are a module of their own, which decides without sending, and so are the budgets that connections share. No behaviour changes; the tests of the transports and of the platform adapter pass.

--- a/src/bramleyfork/entry/transports/health_checks.py
+++ b/src/bramleyfork/entry/transports/health_checks.py
@@ -7,6 +7,7 @@
 from bramleyfork.entry.transports import _statements
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
+from bramleyfork.entry.transports import receive_budgets
 
 _TIMEOUT_S = 1.0
 # Total size of the incomplete responses, as targets may send bytes without end.
@@ -29,7 +30,7 @@
         """Sets up state before the first step."""
         self._loop: asyncio.AbstractEventLoop | None = None
         self._tasks: set[asyncio.Task] = set()
-        self._budget = http_client.ReceiveBudget(
+        self._budget = receive_budgets.ReceiveBudget(
             limit_bytes=_MAX_RECEIVING_BYTES
         )
         self._recorder = _statements.StatementRecorder(
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -7,6 +7,7 @@
 import httptools
 
 from bramleyfork.entry import http_headers
+from bramleyfork.entry.transports import receive_budgets
 
 # Idle connections are closed this long before the target's keep-alive timeout:
 # a request that is sent while the target closes the connection may have run.
@@ -22,38 +23,6 @@
 _MAX_FRAMING_BYTES = 64 * 1024
 
 
-class ReceiveBudget:
-    """Memory for the responses that connections are receiving.
-
-    Connections that share a budget together hold at most its limit, however
-    many of them receive a response without end.
-
-    Args:
-      limit_bytes: Total size of the incomplete responses.
-
-    Attributes:
-      limit_bytes: Total size of the incomplete responses.
-      reserved_bytes: Size of those received so far.
-    """
-
-    __slots__ = ("limit_bytes", "reserved_bytes")
-
-    def __init__(self, *, limit_bytes: int):
-        self.limit_bytes = limit_bytes
-        self.reserved_bytes = 0
-
-    def try_reserve(self, count: int) -> bool:
-        """Reserves a number of bytes; returns False if they don't fit."""
-        if self.reserved_bytes + count > self.limit_bytes:
-            return False
-        self.reserved_bytes += count
-        return True
-
-    def release(self, count: int) -> None:
-        """Releases bytes that were reserved before."""
-        self.reserved_bytes -= count
-
-
 class HttpResponse:
     """A parsed response.
 
@@ -152,7 +121,7 @@
         loop: asyncio.AbstractEventLoop,
         on_response: ResponseCallback,
         on_closed: collections.abc.Callable[["ClientConnection"], None],
-        budget: ReceiveBudget,
+        budget: receive_budgets.ReceiveBudget,
     ):
         self.reusable_until = 0.0
         self.last_used_at = loop.time()
--- /dev/null
+++ b/src/bramleyfork/entry/transports/receive_budgets.py
@@ -0,0 +1,33 @@
+"""Memory for the responses that connections are receiving."""
+
+
+class ReceiveBudget:
+    """Memory for the responses that connections are receiving.
+
+    Connections that share a budget together hold at most its limit, however
+    many of them receive a response without end.
+
+    Args:
+      limit_bytes: Total size of the incomplete responses.
+
+    Attributes:
+      limit_bytes: Total size of the incomplete responses.
+      reserved_bytes: Size of those received so far.
+    """
+
+    __slots__ = ("limit_bytes", "reserved_bytes")
+
+    def __init__(self, *, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        self.reserved_bytes = 0
+
+    def try_reserve(self, count: int) -> bool:
+        """Reserves a number of bytes; returns False if they don't fit."""
+        if self.reserved_bytes + count > self.limit_bytes:
+            return False
+        self.reserved_bytes += count
+        return True
+
+    def release(self, count: int) -> None:
+        """Releases bytes that were reserved before."""
+        self.reserved_bytes -= count
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -10,19 +10,15 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.decisions import answers
+from bramleyfork.entry.transports import _end_checks
 from bramleyfork.entry.transports import _request_encoder
 from bramleyfork.entry.transports import _statements
 from bramleyfork.entry.transports import _target_pools
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
+from bramleyfork.entry.transports import receive_budgets
 
 _CONNECT_TIMEOUT_S = 1.0
-# Time for which the report of a lost attempt waits for the check of whether its
-# target ended.
-_END_CHECK_TIMEOUT_S = 0.05
-# Targets that lose their connections within this time of each other lose them
-# together.
-_RESET_TOGETHER_S = 0.05
 _MAX_QUEUED_PER_TARGET = 16  # Attempts that are queued for one target.
 # Maximum idle time of a connection that is reused for a request that may run
 # only once. If the target closes the connection when the request is sent, it is
@@ -52,6 +48,7 @@
         "_by_connection",
         "_tasks",
         "_budget",
+        "_end_checks",
         "_expiry_checked_at",
         "_encoder",
         "_recorder",
@@ -66,9 +63,14 @@
             http_client.ClientConnection, _target_pools.Attempt
         ] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._budget = http_client.ReceiveBudget(
+        self._budget = receive_budgets.ReceiveBudget(
             limit_bytes=_MAX_RECEIVING_BYTES
         )
+        self._end_checks = _end_checks.EndChecks(
+            pools=self._pools,
+            open_connection=self._open,
+            report=self._report_check,
+        )
         self._expiry_checked_at = 0.0
         self._encoder = _request_encoder.RequestEncoder(
             header_names=self.context.header_names
@@ -182,8 +184,7 @@
                 closed = True
                 pool.count -= 1
                 pool.remove(connection, loop.time())
-                if pool.is_down():
-                    self._settle_losses(pool, has_ended=True)
+                self._end_checks.record_closed(pool)
                 if pool.waiting:
                     limit = pool.waiting[0].send.connection_limit
                     self._open_if_needed(address, pool, limit)
@@ -203,17 +204,11 @@
         except (OSError, TimeoutError) as error:
             pool.opening -= 1
             pool.count -= 1
-            pool.is_refused = isinstance(error, ConnectionRefusedError)
-            # The end of other connections may be read later.
-            if not pool.is_refused or pool.is_down():
-                self._settle_losses(pool, has_ended=pool.is_down())
+            self._end_checks.record_failure(pool, error)
             self._fail_waiting(pool, "connect")
             return
         pool.opening -= 1
-        pool.is_refused = False
-        self._settle_losses(
-            pool, has_ended=self._has_restarted(pool, loop.time())
-        )
+        self._end_checks.record_connected(pool, loop.time())
         pool.add(connection)
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -221,18 +216,6 @@
         connection.reusable_until = now + _CONNECT_TIMEOUT_S
         self._assign_or_release(pool, connection, now)
 
-    def _has_restarted(self, pool: _target_pools.Pool, now: float) -> bool:
-        """Returns whether a target ended and listens again already.
-
-        Connections to several targets that close at once were probably reset on
-        their way.
-        """
-        return pool.has_lost_all(now) and not any(
-            abs(other.lost_all_at - pool.lost_all_at) < _RESET_TOGETHER_S
-            for other in self._pools.values()
-            if other is not pool
-        )
-
     def _fail_waiting(self, pool: _target_pools.Pool, fault: str) -> None:
         while pool.waiting:
             attempt = pool.waiting.popleft()
@@ -311,7 +294,7 @@
             return
         if response is None and fault == "lost":
             attempt.pool.remove(connection, self._loop.time())
-            self._check_end(attempt)
+            self._end_checks.start(attempt)
             return
         if response is None:
             self._report_fault(attempt, fault, verdicts.Verdict.MAY_HAVE_RUN)
@@ -319,7 +302,7 @@
         if response.ends_with_connection:
             # A target that ends closes its connections in the same way.
             attempt.response = response
-            self._check_end(attempt)
+            self._end_checks.start(attempt)
             return
         self._handle_response(attempt, response)
 
@@ -359,38 +342,18 @@
             return
         self._assign_or_release(attempt.pool, connection, now)
 
-    def _check_end(self, attempt: _target_pools.Attempt) -> None:
-        """Finds out whether a target ended or only closed one connection.
-
-        It does so by opening the connection that replaces the closed one. The
-        attempt is reported once that has succeeded or failed.
-        """
-        pool = attempt.pool
-        pool.lost.append(attempt)
-        if len(pool.lost) > 1:
+    def _report_check(
+        self, attempt: _target_pools.Attempt, has_ended: bool
+    ) -> None:
+        """Reports an attempt whose connection closed after its check."""
+        if attempt.response is not None and not has_ended:
+            self._handle_response(attempt, attempt.response)
             return
-        pool.is_refused = False
-        pool.check_timer = self._loop.call_later(
-            _END_CHECK_TIMEOUT_S,
-            lambda: self._settle_losses(pool, has_ended=pool.is_down()),
+        self._report_fault(
+            attempt,
+            "ended" if has_ended else "lost",
+            verdicts.Verdict.MAY_HAVE_RUN,
         )
-        self._open(attempt.send.target.address, pool)
-
-    def _settle_losses(
-        self, pool: _target_pools.Pool, *, has_ended: bool
-    ) -> None:
-        if pool.check_timer is not None:
-            pool.check_timer.cancel()
-        lost, pool.lost = pool.lost, []
-        for attempt in lost:
-            if attempt.response is not None and not pool.is_down():
-                self._handle_response(attempt, attempt.response)
-                continue
-            self._report_fault(
-                attempt,
-                "ended" if has_ended else "lost",
-                verdicts.Verdict.MAY_HAVE_RUN,
-            )
 
     def _report_fault(
         self,
--- a/tests/entry/transports/test_entry_decoder_fuzz.py
+++ b/tests/entry/transports/test_entry_decoder_fuzz.py
@@ -16,6 +16,7 @@
 from bramleyfork.entry.controllers import observations
 from bramleyfork.entry.transports import http_client
 from bramleyfork.entry.transports import peers
+from bramleyfork.entry.transports import receive_budgets
 from bramleyfork.entry.transports import server_connections
 import platform_store
 from tests.entry import boards
@@ -151,7 +152,7 @@
     # Guards against bytes that raise in the event loop, against an attempt
     # that gets two results or none, and against memory that stays reserved.
     results, transport = [], Transport()
-    budget = http_client.ReceiveBudget(limit_bytes=20_000)
+    budget = receive_budgets.ReceiveBudget(limit_bytes=20_000)
     connection = http_client.ClientConnection(
         loop=Clock(),
         on_response=lambda _, response, fault: results.append(
