Split the heads of messages from the server side of connections

Encoding of heads, with the fields that concern one connection only and those of offers to upgrade, is a module of its own. The daemon's transport builds the outcome of an attempt of which nothing was sent in one place. No behaviour changes; the tests of the transports and of the platform adapter pass.

--- a/src/bramleyfork/entry/transports/_request_encoder.py
+++ b/src/bramleyfork/entry/transports/_request_encoder.py
@@ -2,7 +2,7 @@
 
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import http_headers
-from bramleyfork.entry.transports import server_connections
+from bramleyfork.entry.transports import _http_heads
 
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 
@@ -62,7 +62,7 @@
             self._header_names.deadline_ms,
             self._header_names.expected_target,
             b"expect",
-            *server_connections.CONNECTION_FIELDS,
+            *_http_heads.CONNECTION_FIELDS,
         }
         for name, value in request.headers:
             if name.lower() == b"connection":
--- a/src/bramleyfork/entry/transports/server_connections.py
+++ b/src/bramleyfork/entry/transports/server_connections.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import collections.abc
-import http
 import socket
 import struct
 import typing
@@ -12,29 +11,12 @@
 
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
+from bramleyfork.entry.transports import _http_heads
 
 # Pipelined requests that are queued on one connection. With more, reading from
 # the connection is paused.
 _MAX_PIPELINED_REQUESTS = 4
 
-_REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
-
-# Header fields that are not forwarded: those that apply to one connection only
-# (RFC 9110, section 7.6.1), and those that frame the body, which are written
-# anew.
-CONNECTION_FIELDS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-    )
-)
-
 # The smoothed round-trip time in microseconds (tcpi_rtt) in Linux's tcp_info.
 _TCP_INFO_RTT_FORMAT = struct.Struct("68xI")
 
@@ -231,32 +213,17 @@
                     return
                 if self._parser.get_method() == b"CONNECT":
                     raise httptools.HttpParserError("tunnel") from upgrade
-                data = (
-                    self._encode_head_without_offer() + data[upgrade.args[0] :]
+                head = _http_heads.encode_request_without_offer(
+                    self._parser.get_method(),
+                    self._url,
+                    self._parser.get_http_version(),
+                    tuple(self._headers),
                 )
+                data = head + data[upgrade.args[0] :]
                 self._parser = httptools.HttpRequestParser(self)
                 continue
             return
 
-    def _encode_head_without_offer(self) -> bytes:
-        lines = [
-            b"%s %s HTTP/%s"
-            % (
-                self._parser.get_method(),
-                self._url,
-                self._parser.get_http_version().encode("ascii"),
-            )
-        ]
-        lines.extend(
-            b"%s: %s" % (name, _drop_upgrade(value))
-            if name.lower() == b"connection"
-            else b"%s: %s" % (name, value)
-            for name, value in self._headers
-            # The caller was told to continue when its head was read first.
-            if name.lower() not in (b"upgrade", b"http2-settings", b"expect")
-        )
-        return b"\r\n".join([*lines, b"", b""])
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Drops queued requests and notifies the handler."""
         del exc
@@ -337,7 +304,7 @@
 
         Args:
           status: Status code.
-          headers: Header fields; those in CONNECTION_FIELDS are left out.
+          headers: Header fields; those of the connection are left out.
           body: Whole body.
         """
         http_request = self._current
@@ -346,7 +313,9 @@
         self._current = None
         keeps_alive = http_request.keeps_alive and not self._handler.is_closing
         self._write(
-            _encode(status, headers, body, http_request.method, keeps_alive)
+            _http_heads.encode_response(
+                status, headers, body, http_request.method, keeps_alive
+            )
         )
         self.state = IDLE
         self.state_changed_at = self._loop.time()
@@ -369,7 +338,7 @@
         self._refused = True
         if self._transport is None or self._current is not None:
             return
-        self._write(_encode(status, (), b"", b"GET", False))
+        self._write(_http_heads.encode_response(status, (), b"", b"GET", False))
         self._transport.close()
 
     def close(self) -> None:
@@ -399,15 +368,6 @@
             self._transport.write(data)
 
 
-def _drop_upgrade(value: bytes) -> bytes:
-    """Returns the options of a Connection field without those of an upgrade."""
-    return b", ".join(
-        option.strip()
-        for option in value.split(b",")
-        if option.strip().lower() not in (b"upgrade", b"http2-settings")
-    )
-
-
 def _measure_round_trip(sock: socket.socket) -> float:
     """Returns the kernel's round-trip time in seconds; 0 if unknown."""
     try:
@@ -419,27 +379,3 @@
     if len(info) < _TCP_INFO_RTT_FORMAT.size:
         return 0.0
     return _TCP_INFO_RTT_FORMAT.unpack(info)[0] / 1_000_000
-
-
-def _encode(
-    status: int,
-    headers: exchanges.Headers,
-    body: bytes,
-    method: bytes,
-    keeps_alive: bool,
-) -> bytes:
-    lines = [
-        b"HTTP/1.1 %d %s" % (status, _REASONS.get(status, b"Status")),
-        *(
-            b"%s: %s" % (name, value)
-            for name, value in headers
-            if name.lower() not in CONNECTION_FIELDS
-        ),
-    ]
-    if status >= 200 and status not in (204, 304):
-        lines.append(b"Content-Length: %d" % len(body))
-    if not keeps_alive:
-        lines.append(b"Connection: close")
-    lines.append(b"\r\n")
-    encoded = b"\r\n".join(lines)
-    return encoded if method == b"HEAD" else encoded + body
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -152,31 +152,13 @@
         # The process may have been suspended since the decision to send, so
         # deadline and lease are checked immediately before the send.
         if request.deadline <= sent_at:
-            return _Outcome(
-                result=_build_failure(
-                    attempt, "expired", verdicts.Verdict.NOT_RUN, 0.0
-                ),
-                reusable=True,
-            )
+            return _refuse(attempt, "expired", reusable=True)
         if not lease_decisions.is_held(self._lease.get("current"), sent_at):
-            return _Outcome(
-                result=_build_failure(
-                    attempt, "no_lease", verdicts.Verdict.NOT_RUN, 0.0
-                ),
-                reusable=True,
-            )
+            return _refuse(attempt, "no_lease", reusable=True)
         try:
             reply = self._send_and_receive(connection, request, sent_at)
         except target_connections.InvalidRequestError as error:
-            return _Outcome(
-                result=_build_failure(
-                    attempt,
-                    "rejected",
-                    verdicts.Verdict.NOT_RUN,
-                    0.0,
-                    str(error),
-                )
-            )
+            return _refuse(attempt, "rejected", str(error))
         except TimeoutError as error:
             return _Outcome(
                 result=self._build_loss(attempt, "timeout", sent_at, error)
@@ -386,6 +368,20 @@
     )
 
 
+def _refuse(
+    attempt: replies.Attempt,
+    code: str,
+    detail: str = "",
+    *,
+    reusable: bool = False,
+) -> _Outcome:
+    """Returns the outcome of an attempt of which no byte was sent."""
+    result = _build_failure(
+        attempt, code, verdicts.Verdict.NOT_RUN, 0.0, detail
+    )
+    return _Outcome(result=result, reusable=reusable)
+
+
 def _build_failure(
     attempt: replies.Attempt,
     code: str,
