--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -22,6 +22,7 @@
             "tests/scenarios",
             "tests/entry",
             "tests/platform_adapter",
+            "tests/transports",
         ],
         cwd=ROOT,
         capture_output=True,
