Bound what connections make an entry host hold, in one budget

What callers saw: clients outside the limits ended a process by its memory or stopped its answers: stalled bodies, whole or in chunks, heads of short fields, chunks of a byte, idle connections, frames without sense.

Cause: limits held for each connection, and nothing bounded their sum. A read took all that had arrived, one turn of the loop served all connections, header fields were counted as bytes and held as objects, responses were written whether they were read or not, requests that are answered at once recursed, and the pages closed no connection by time. A stream that was closed for a bad frame went on with the frames behind it, a log line each.

Change: bramleyfork.listeners is the server side of connections. One budget counts what each of them holds, with the responses of targets; what makes no progress goes first, large connections leave room for small ones, and clients use half of the descriptors. Requests are read 16 KiB a turn, costly ones one after the other. docs/decisions/0023 has what was weighed.

Evidence: tests/crowds, crowd and bounds fixed before the change.

--- a/src/bramleyfork/entry/components.py
+++ b/src/bramleyfork/entry/components.py
@@ -10,6 +10,8 @@
 from bramleyfork.core import blackboard
 from bramleyfork.core import controllers
 from bramleyfork.core import registries
+from bramleyfork.listeners import budgets
+from bramleyfork.listeners import resources
 
 
 class Component(controllers.Controller):
@@ -57,9 +59,16 @@
       header_names: Header names used with callers and targets.
       metrics: Counters and histograms of the process.
       incarnation: Milliseconds since 1970 at the start of this process.
+      connections: What the connections of all listeners share.
     """
 
-    __slots__ = ("settings", "header_names", "metrics", "incarnation")
+    __slots__ = (
+        "settings",
+        "header_names",
+        "metrics",
+        "incarnation",
+        "connections",
+    )
 
     def __init__(
         self,
@@ -73,6 +82,12 @@
         self.header_names = header_names
         self.metrics = metrics
         self.incarnation = incarnation
+        self.connections = resources.LoopResources(
+            budget=budgets.build_budget(
+                memory_bytes=settings.memory_bytes,
+                descriptors=settings.descriptors,
+            )
+        )
 
 
 CONTROLLERS: registries.Registry[type[Component]] = registries.Registry(
--- a/src/bramleyfork/entry/declarations.py
+++ b/src/bramleyfork/entry/declarations.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from bramleyfork.core import records
+from bramleyfork.listeners import limits as limits_module
 
 
 class Service(records.Record):
@@ -125,32 +126,6 @@
         return self.shards or tuple(share.service for share in self.shares)
 
 
-class CallerLimits(records.Record):
-    """Limits on the requests and connections of callers.
-
-    Attributes:
-      header_bytes: Maximum size of a request's head in bytes.
-      body_bytes: Maximum size of a request's body in bytes.
-      header_s: Maximum time in seconds for a head to arrive.
-      idle_s: Maximum time in seconds that a connection may be idle.
-    """
-
-    __slots__ = ("header_bytes", "body_bytes", "header_s", "idle_s")
-
-    def __init__(
-        self,
-        *,
-        header_bytes: int = 16384,
-        body_bytes: int = 1048576,
-        header_s: float = 5.0,
-        idle_s: float = 60.0,
-    ):
-        self.header_bytes = header_bytes
-        self.body_bytes = body_bytes
-        self.header_s = header_s
-        self.idle_s = idle_s
-
-
 class RouteTable(records.Record):
     """One accepted version of the routes and services.
 
@@ -171,7 +146,7 @@
         revision: int,
         routes: collections.abc.Mapping[str, tuple[Route, ...]],
         services: collections.abc.Mapping[str, Service],
-        limits: CallerLimits,
+        limits: limits_module.CallerLimits,
     ):
         self.version = version
         self.revision = revision
--- a/src/bramleyfork/entry/settings.py
+++ b/src/bramleyfork/entry/settings.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from bramleyfork.core import records
+from bramleyfork.listeners import budgets
 
 # Time for which callers keep a directory answer before they ask again. Some
 # keep it for three times as long, and a leaving host waits for these.
@@ -49,6 +50,9 @@
       metrics_address: Address at which it serves metrics; None to serve none.
       cores: Number of its CPU cores; may be a fraction.
       link_mbps: Bandwidth of its network link in Mbit/s.
+      memory_bytes: Memory that the process may use, in bytes.
+      descriptors: Number of descriptors that it may open; None for the limit of
+        the operating system.
       seeds: Peer addresses of hosts that may be running.
       is_first_start: Whether the whole fleet starts for the first time, so that
         there is time until callers come.
@@ -71,6 +75,8 @@
         "metrics_address",
         "cores",
         "link_mbps",
+        "memory_bytes",
+        "descriptors",
         "seeds",
         "is_first_start",
         "retry_limits",
@@ -92,6 +98,8 @@
         metrics_address: tuple[str, int] | None = None,
         cores: float = 1.0,
         link_mbps: float = 1000.0,
+        memory_bytes: int = budgets.DEFAULT_MEMORY_BYTES,
+        descriptors: int | None = None,
         seeds: tuple[tuple[str, int], ...] = (),
         is_first_start: bool = False,
         retry_limits: RetryBudgetLimits,
@@ -109,6 +117,8 @@
         self.metrics_address = metrics_address
         self.cores = cores
         self.link_mbps = link_mbps
+        self.memory_bytes = memory_bytes
+        self.descriptors = descriptors
         self.seeds = seeds
         self.is_first_start = is_first_start
         self.retry_limits = retry_limits
--- a/src/bramleyfork/entry/transports/_record_codec.py
+++ b/src/bramleyfork/entry/transports/_record_codec.py
@@ -13,6 +13,7 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import feeds
+from bramleyfork.listeners import limits
 
 # Extension types of msgpack.
 _RECORD_EXTENSION = 1  # Class name, then the values of the slots.
@@ -28,7 +29,7 @@
         carrier_records.Call,
         carrier_records.Result,
         exchanges.CallerRequest,
-        declarations.CallerLimits,
+        limits.CallerLimits,
         declarations.ListedTarget,
         declarations.Route,
         declarations.RouteTable,
--- a/src/bramleyfork/entry/transports/_record_streams.py
+++ b/src/bramleyfork/entry/transports/_record_streams.py
@@ -70,6 +70,7 @@
         """Marks the stream as closed and calls ``on_closed``."""
         del exc
         self._transport = None
+        self._buffer.clear()
         self._on_closed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -78,25 +79,36 @@
         Closes the connection on a frame that is too large or can't be decoded.
         """
         self._buffer += data
-        while self._transport is not None and len(self._buffer) >= _LENGTH.size:
+        self._read_frames()
+
+    def _can_read(self) -> bool:
+        """Returns whether the next frame may be read."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def _read_frames(self) -> int:
+        """Passes on the complete frames; returns their number."""
+        count = 0
+        while self._can_read() and len(self._buffer) >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(self._buffer)
             if length > self._max_frame_bytes:
                 self.close_with_error(
                     f"frame of {length} bytes exceeds the limit of"
                     f" {self._max_frame_bytes}"
                 )
-                return
+                break
             end = _LENGTH.size + length
             if len(self._buffer) < end:
-                return
+                break
             frame = bytes(self._buffer[_LENGTH.size : end])
             del self._buffer[:end]
             try:
                 record = _record_codec.decode(frame)
             except _record_codec.RecordDecodeError as error:
                 self.close_with_error(str(error))
-                return
+                break
+            count += 1
             self._on_record(self, record)
+        return count
 
     def send(self, record: records.Record) -> None:
         """Sends a record; does nothing if the connection has ended."""
--- a/src/bramleyfork/entry/transports/_request_encoder.py
+++ b/src/bramleyfork/entry/transports/_request_encoder.py
@@ -2,7 +2,7 @@
 
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import http_headers
-from bramleyfork.entry.transports import _http_heads
+from bramleyfork.listeners import http_heads
 
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 
@@ -62,7 +62,7 @@
             self._header_names.deadline_ms,
             self._header_names.expected_target,
             b"expect",
-            *_http_heads.CONNECTION_FIELDS,
+            *http_heads.CONNECTION_FIELDS,
         }
         for name, value in request.headers:
             if name.lower() == b"connection":
--- a/src/bramleyfork/entry/transports/callers.py
+++ b/src/bramleyfork/entry/transports/callers.py
@@ -4,19 +4,21 @@
 import logging
 
 from bramleyfork.entry import components
-from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import http_headers
-from bramleyfork.entry.transports import server_connections
+from bramleyfork.listeners import http_heads
+from bramleyfork.listeners import http_requests
+from bramleyfork.listeners import limits
+from bramleyfork.listeners import resources as resources_module
+from bramleyfork.listeners import server_connections
+from bramleyfork.listeners import sockets
+from bramleyfork.listeners import timeouts
 
 _LOG = logging.getLogger(__name__)
 
-# Interval of the check for connections over a time limit.
-_TIMEOUT_CHECK_INTERVAL_S = 0.5
-# Multiple of the idle limit after which an idle connection is closed. A request
-# that a caller sends just before the limit then still arrives in time.
-_IDLE_LIMIT_FACTOR = 1.2
-_BACKLOG = 512  # Connections that wait to be accepted.
+_LINGER_BYTES = 512 * 1024  # Dropped after a refusal.
+# States in which a connection has no request to answer.
+_RESTING_STATES = (server_connections.IDLE, server_connections.LINGERING)
 
 
 @components.register(
@@ -31,6 +33,7 @@
     __slots__ = (
         "limits",
         "is_closing",
+        "linger_bytes",
         "_server",
         "_connections",
         "_connection_by_key",
@@ -42,8 +45,9 @@
 
     def start(self) -> None:
         """Sets up state before the first step."""
-        self.limits = declarations.CallerLimits()
+        self.limits = limits.CallerLimits()
         self.is_closing = False
+        self.linger_bytes = _LINGER_BYTES
         self._server: asyncio.Server | None = None
         self._connections: set[server_connections.ServerConnection] = set()
         self._connection_by_key: dict[
@@ -59,14 +63,11 @@
     async def open(self) -> None:
         """Listens for callers."""
         loop = asyncio.get_running_loop()
-        host, port = self.context.settings.caller_address
-        self._server = await loop.create_server(
+        self._server = await sockets.open_server(
             lambda: server_connections.ServerConnection(
                 handler=self, loop=loop
             ),
-            host,
-            port,
-            backlog=_BACKLOG,
+            self.context.settings.caller_address,
         )
 
     def close(self) -> None:
@@ -93,11 +94,15 @@
                     response.status, response.headers, response.body
                 )
         self._apply_limits_and_phase()
-        if now >= self._timeouts_checked_at + _TIMEOUT_CHECK_INTERVAL_S:
+        if now >= self._timeouts_checked_at + timeouts.CHECK_INTERVAL_S:
             self._timeouts_checked_at = now
-            self._close_timed_out(now)
+            timeouts.check_connections(
+                self._connections,
+                timeouts.build_time_limits(self.limits),
+                now,
+            )
         self._report_work()
-        return self._timeouts_checked_at + _TIMEOUT_CHECK_INTERVAL_S
+        return self._timeouts_checked_at + timeouts.CHECK_INTERVAL_S
 
     def _report_work(self) -> None:
         """Writes the count of open requests and connections if it has changed.
@@ -129,27 +134,21 @@
             self._server = None
         if phase.phase == "closing":
             for connection in list(self._connections):
-                if connection.state == server_connections.IDLE:
+                if connection.state in _RESTING_STATES:
                     connection.close()
 
-    def _close_timed_out(self, now: float) -> None:
-        limits = self.limits
-        for connection in list(self._connections):
-            age = now - connection.state_changed_at
-            if connection.state == server_connections.READING_HEAD:
-                if age > limits.header_s:
-                    connection.refuse(408)
-            elif connection.state == server_connections.READING_BODY:
-                if age > limits.idle_s:
-                    connection.refuse(408)
-            elif (
-                connection.state == server_connections.IDLE
-                and age > limits.idle_s * _IDLE_LIMIT_FACTOR
-            ):
-                connection.close()
-
     # Called by connections.
 
+    @property
+    def resources(self) -> resources_module.LoopResources:
+        """What the connections of all listeners share."""
+        return self.context.connections
+
+    def build_refusal(self, status: int) -> tuple[http_heads.Headers, bytes]:
+        """Returns headers and body of the refusal of an incomplete request."""
+        self.context.metrics.count("connections_refused", str(status))
+        return http_heads.build_refusal_headers(status), b""
+
     def add_connection(
         self, connection: server_connections.ServerConnection
     ) -> None:
@@ -173,7 +172,7 @@
     def handle_request(
         self,
         connection: server_connections.ServerConnection,
-        http_request: server_connections.HttpRequest,
+        http_request: http_requests.HttpRequest,
     ) -> None:
         """Passes on a request; answers an invalid one with status 400."""
         request = self._read_request(connection, http_request)
@@ -189,7 +188,7 @@
     def _read_request(
         self,
         connection: server_connections.ServerConnection,
-        http_request: server_connections.HttpRequest,
+        http_request: http_requests.HttpRequest,
     ) -> exchanges.CallerRequest | None:
         header_names = self.context.header_names
         values_by_name: dict[bytes, list[bytes]] = {
--- a/src/bramleyfork/entry/transports/carriers.py
+++ b/src/bramleyfork/entry/transports/carriers.py
@@ -11,12 +11,14 @@
 from bramleyfork.entry import carrier_records
 from bramleyfork.entry import components
 from bramleyfork.entry import exchanges
+from bramleyfork.entry.transports import _accepted_streams
 from bramleyfork.entry.transports import _record_streams
+from bramleyfork.listeners import sockets
 
 _CONNECT_TIMEOUT_S = 0.3
-# A call holds one request with a small body, a result the merged records of one
-# request.
-_MAX_FRAME_BYTES = 4 * 1024 * 1024
+# A call holds one request with a small body and the names of its targets.
+_MAX_CALL_BYTES = 256 * 1024
+_MAX_RESULT_BYTES = 4 * 1024 * 1024  # The merged records of one request.
 
 
 class _CarrierStream:
@@ -71,8 +73,8 @@
     async def open(self) -> None:
         """Listens for streams of other hosts."""
         self._loop = asyncio.get_running_loop()
-        self._server = await self._loop.create_server(
-            self._accept, *self.context.settings.carrier_address
+        self._server = await sockets.open_server(
+            self._accept, self.context.settings.carrier_address
         )
 
     def close(self) -> None:
@@ -158,7 +160,7 @@
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 _, stream = await self._loop.create_connection(
                     lambda: _record_streams.RecordStream(
-                        max_frame_bytes=_MAX_FRAME_BYTES,
+                        max_frame_bytes=_MAX_RESULT_BYTES,
                         on_record=lambda _, record: self._handle_result(
                             carrier_address, record
                         ),
@@ -275,8 +277,9 @@
 
     def _accept(self) -> _record_streams.RecordStream:
         key = next(self._stream_keys)
-        stream = _record_streams.RecordStream(
-            max_frame_bytes=_MAX_FRAME_BYTES,
+        stream = _accepted_streams.AcceptedStream(
+            connections=self.context.connections,
+            max_frame_bytes=_MAX_CALL_BYTES,
             on_record=lambda _, record: self._handle_call(key, record),
             on_closed=lambda _: self._handle_accepted_closed(key),
         )
--- a/src/bramleyfork/entry/transports/directory_server.py
+++ b/src/bramleyfork/entry/transports/directory_server.py
@@ -7,8 +7,8 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import directories
 from bramleyfork.entry import exchanges
-from bramleyfork.entry.transports import http_server
-from bramleyfork.entry.transports import server_connections
+from bramleyfork.listeners import http_requests
+from bramleyfork.listeners import http_server
 
 ResponseFields = tuple[int, exchanges.Headers, bytes]
 
@@ -31,7 +31,9 @@
             regions=self.context.settings.regions,
             tables={name: self.get_table(name) for name in self.passive_reads},
         )
-        self._server = http_server.HttpServer(handle=self._handle_request)
+        self._server = http_server.HttpServer(
+            handle=self._handle_request, resources=self.context.connections
+        )
 
     async def open(self) -> None:
         """Listens on each address of ``list_addresses``."""
@@ -63,7 +65,7 @@
         return (200 if self.directory.is_ready() else 503), (), b""
 
     def _handle_request(
-        self, http_request: server_connections.HttpRequest
+        self, http_request: http_requests.HttpRequest
     ) -> ResponseFields:
         path, _, query = http_request.url.decode("latin-1").partition("?")
         return self.build_response(path, query)
--- a/src/bramleyfork/entry/transports/feed_peers.py
+++ b/src/bramleyfork/entry/transports/feed_peers.py
@@ -10,12 +10,15 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import declarations
 from bramleyfork.entry import feeds
+from bramleyfork.entry.transports import _accepted_streams
 from bramleyfork.entry.transports import _record_codec
 from bramleyfork.entry.transports import _record_streams
+from bramleyfork.listeners import sockets
 
 # A host refuses reads of others if its own last successful read is older than
 # this.
 _MAX_FEED_AGE_S = 3.5
+_MAX_WAIT_S = 30.0  # Longest wait for a change, whatever a read asks for.
 _MAX_READ_FRAME_BYTES = 64 * 1024  # A read has a few short fields.
 _MAX_RESULT_FRAME_BYTES = 32 * 1024 * 1024  # A listing of the whole feed.
 
@@ -60,8 +63,8 @@
     async def open(self) -> None:
         """Listens for streams of other hosts."""
         self._loop = asyncio.get_running_loop()
-        self._server = await self._loop.create_server(
-            self._accept, *self.context.settings.peer_address
+        self._server = await sockets.open_server(
+            self._accept, self.context.settings.peer_address
         )
 
     def close(self) -> None:
@@ -73,7 +76,8 @@
             stream.close()
 
     def _accept(self) -> _record_streams.RecordStream:
-        stream = _record_streams.RecordStream(
+        stream = _accepted_streams.AcceptedStream(
+            connections=self.context.connections,
             max_frame_bytes=_MAX_READ_FRAME_BYTES,
             on_record=self._handle_read,
             on_closed=self._accepted_streams.discard,
@@ -183,17 +187,16 @@
             stream.close_with_error("expected a FeedRead record")
             return
         now = self._loop.time()
+        wait_s = min(read.wait_s, _MAX_WAIT_S)
         pending_watch = _PendingWatch(
-            stream=stream, read=read, wait_until=now + read.wait_s
+            stream=stream, read=read, wait_until=now + wait_s
         )
         result = self._find_result(pending_watch, now)
         if result is not None:
             stream.send(result)
             return
         self._pending_watches.append(pending_watch)
-        self._loop.call_later(
-            read.wait_s, self._handle_watch_timeout, pending_watch
-        )
+        self._loop.call_later(wait_s, self._handle_watch_timeout, pending_watch)
 
     def _handle_watch_timeout(self, pending_watch: "_PendingWatch") -> None:
         if pending_watch not in self._pending_watches:
--- a/src/bramleyfork/entry/transports/health_checks.py
+++ b/src/bramleyfork/entry/transports/health_checks.py
@@ -31,7 +31,8 @@
         self._loop: asyncio.AbstractEventLoop | None = None
         self._tasks: set[asyncio.Task] = set()
         self._budget = receive_budgets.ReceiveBudget(
-            limit_bytes=_MAX_RECEIVING_BYTES
+            limit_bytes=_MAX_RECEIVING_BYTES,
+            parent=self.context.connections.budget,
         )
         self._recorder = _statements.StatementRecorder(
             context=self.context,
--- a/src/bramleyfork/entry/transports/metrics.py
+++ b/src/bramleyfork/entry/transports/metrics.py
@@ -8,8 +8,8 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import exchanges
 from bramleyfork.entry import metrics
-from bramleyfork.entry.transports import http_server
-from bramleyfork.entry.transports import server_connections
+from bramleyfork.listeners import http_requests
+from bramleyfork.listeners import http_server
 
 _PREFIX = "bramleyfork_"
 _TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
@@ -36,7 +36,9 @@
 
     def start(self) -> None:
         """Sets up state before the first step."""
-        self._server = http_server.HttpServer(handle=self._handle_request)
+        self._server = http_server.HttpServer(
+            handle=self._handle_request, resources=self.context.connections
+        )
 
     async def open(self) -> None:
         """Listens on the metrics address, if the settings have one."""
@@ -48,7 +50,7 @@
         self._server.close()
 
     def _handle_request(
-        self, http_request: server_connections.HttpRequest
+        self, http_request: http_requests.HttpRequest
     ) -> tuple[int, exchanges.Headers, bytes]:
         path = http_request.url.partition(b"?")[0]
         if path == b"/metrics":
@@ -88,6 +90,21 @@
             "targets_usable": sum(len(t) for t in usable.values()),
             "services_without_target": sum(not t for t in usable.values()),
             "data_centres_evacuated": len(self.get_table("evacuations")),
+            **self._collect_connection_gauges(),
+        }
+
+    def _collect_connection_gauges(self) -> dict[str, float]:
+        """Returns what connections of clients make the process hold."""
+        budget = self.context.connections.budget
+        return {
+            "connections": budget.connection_count,
+            "connection_limit": budget.connection_limit,
+            "connection_bytes": budget.held_bytes,
+            "connection_bytes_limit": budget.memory_bytes,
+            "connections_evicted_for_memory": budget.counters["memory"],
+            "connections_evicted_for_descriptors": budget.counters[
+                "descriptors"
+            ],
         }
 
     # State.
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -64,7 +64,8 @@
         ] = {}
         self._tasks: set[asyncio.Task] = set()
         self._budget = receive_budgets.ReceiveBudget(
-            limit_bytes=_MAX_RECEIVING_BYTES
+            limit_bytes=_MAX_RECEIVING_BYTES,
+            parent=self.context.connections.budget,
         )
         self._end_checks = _end_checks.EndChecks(
             pools=self._pools,
--- a/src/bramleyfork/entry/transports/_http_heads.py
+++ b/src/bramleyfork/listeners/http_heads.py
@@ -2,7 +2,7 @@
 
 import http
 
-from bramleyfork.entry import exchanges
+Headers = tuple[tuple[bytes, bytes], ...]
 
 _REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
 
@@ -22,6 +22,9 @@
     )
 )
 
+# Time after which a client that was refused for lack of room should retry.
+_RETRY_AFTER_S = 1.0
+
 # Options of a Connection field that belong to an offer to upgrade it.
 _UPGRADE_OPTIONS = frozenset((b"upgrade", b"http2-settings"))
 # Fields of an offer. The caller was told to continue when its head was read.
@@ -29,7 +32,7 @@
 
 
 def encode_request_without_offer(
-    method: bytes, url: bytes, version: str, headers: exchanges.Headers
+    method: bytes, url: bytes, version: str, headers: Headers
 ) -> bytes:
     """Returns the head of a request without its offer to upgrade.
 
@@ -55,9 +58,20 @@
     return b", ".join(o for o in options if o.lower() not in _UPGRADE_OPTIONS)
 
 
+def build_refusal_headers(status: int) -> Headers:
+    """Returns the header fields of the refusal of an incomplete request.
+
+    Args:
+      status: Status code of the refusal.
+    """
+    if status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return ()
+    return ((b"Retry-After", b"%.1f" % _RETRY_AFTER_S),)
+
+
 def encode_response(
     status: int,
-    headers: exchanges.Headers,
+    headers: Headers,
     body: bytes,
     method: bytes,
     keeps_alive: bool,
--- /dev/null
+++ b/src/bramleyfork/listeners/sockets.py
@@ -0,0 +1,42 @@
+"""Opens listening sockets."""
+
+import asyncio
+import collections.abc
+import socket
+
+# Connections that the kernel queues before they are accepted.
+_BACKLOG = 512
+# Connections that are accepted in one turn of the event loop. A larger number
+# could use up the descriptors before the first of them is counted.
+_ACCEPTED_PER_TURN = 16
+
+
+async def open_server(
+    build_protocol: collections.abc.Callable[[], asyncio.BaseProtocol],
+    address: tuple[str, int],
+) -> asyncio.Server:
+    """Listens on an address.
+
+    Args:
+      build_protocol: Returns the protocol of a new connection.
+      address: IP address and port; for port 0 a free one is chosen.
+
+    Raises:
+      OSError: The address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.setblocking(False)
+        # asyncio takes one number for both. The second call sets the backlog of
+        # the kernel only.
+        server = await asyncio.get_running_loop().create_server(
+            build_protocol, sock=sock, backlog=_ACCEPTED_PER_TURN
+        )
+        sock.listen(_BACKLOG)
+    except BaseException:
+        sock.close()
+        raise
+    return server
--- a/src/bramleyfork/standalone/declaration.py
+++ b/src/bramleyfork/standalone/declaration.py
@@ -13,6 +13,7 @@
 from bramleyfork.entry import declarations
 from bramleyfork.entry import feeds
 from bramleyfork.entry.decisions import matching
+from bramleyfork.listeners import limits as caller_limits
 from bramleyfork.standalone import declared_options
 from bramleyfork.standalone import settings
 
@@ -215,7 +216,7 @@
         services={
             row["name"]: declarations.Service(**row) for row in rows["services"]
         },
-        limits=declarations.CallerLimits(**limits),
+        limits=caller_limits.CallerLimits(**limits),
     )
     entries = [("routes", "", table)]
     entries += [("evacuation", name, None) for name in top["evacuated"]]
--- a/src/bramleyfork/standalone/settings.py
+++ b/src/bramleyfork/standalone/settings.py
@@ -101,6 +101,15 @@
         high=1_000_000,
         purpose="Bandwidth of this host's network link.",
     ),
+    option_schemas.Option(
+        key="memory_mb",
+        type="integer",
+        default=200,
+        unit="MB",
+        low=64,
+        high=1_000_000,
+        purpose="Memory that the process may use.",
+    ),
     option_schemas.Option(
         key="retry_ratio",
         type="number",
@@ -162,6 +171,7 @@
     "carrier_address",
     "metrics_address",
 )
+_BYTES_PER_MB = 1_000_000
 _RETRY_KEYS = {
     "ratio": "retry_ratio",
     "slack": "retry_slack",
@@ -242,6 +252,7 @@
     for key in _ADDRESSES:
         if values[key] is not None:
             values[key] = parse_address(values[key])
+    values["memory_bytes"] = values.pop("memory_mb") * _BYTES_PER_MB
     values["seeds"] = tuple(parse_address(seed) for seed in values["seeds"])
     return expression.Ok(
         StandaloneSettings(
--- a/tests/entry/creators.py
+++ b/tests/entry/creators.py
@@ -8,6 +8,7 @@
 from bramleyfork.entry import metrics
 from bramleyfork.entry import settings
 from bramleyfork.entry.decisions import matching
+from bramleyfork.listeners import limits
 
 REGIONS = {"north": "left", "south": "right", "east": "far"}
 
@@ -83,7 +84,7 @@
         "revision": version,
         "routes": matching.group_routes(routes),
         "services": services,
-        "limits": declarations.CallerLimits(),
+        "limits": limits.CallerLimits(),
     }
     return declarations.RouteTable(**(fields | changes))
 
--- a/tests/entry/transports/test_entry_callers.py
+++ b/tests/entry/transports/test_entry_callers.py
@@ -3,10 +3,10 @@
 
 import pytest
 
-from bramleyfork.entry import declarations
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.controllers import lifecycle
 from bramleyfork.entry.transports import callers
+from bramleyfork.listeners import limits as caller_limits
 from tests.entry import component_runner
 from tests.entry import creators
 from tests.entry import ports
@@ -25,7 +25,7 @@
     ) as harness:
         table = creators.create_table(
             creators.create_route(),
-            limits=declarations.CallerLimits(**limits),
+            limits=caller_limits.CallerLimits(**limits),
         )
         harness.put("route_table", "current", table)
         await asyncio.sleep(0.01)
@@ -444,3 +444,131 @@
             assert (await read_response(reader))[0] == 200
 
     run(work)
+
+
+MALFORMED = b"GET /find/x HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+
+def test_many_requests_without_an_id_are_answered_without_recursion():
+    # Guards against a recursion limit that loses the answers of a step.
+    async def work():
+        async with run_callers() as harness:
+            reader, writer = await connect(harness)
+            writer.write(VALID + MALFORMED * 3000)
+            respond(harness, await wait_for_request(harness))
+            assert (await read_response(reader))[0] == 200
+            for _ in range(3000):
+                assert (await read_response(reader))[0] == 400
+
+    run(work)
+
+
+def test_a_malformed_request_is_refused_after_the_response_before_it():
+    # Guards against a connection that closes without the refusal.
+    async def work():
+        async with run_callers() as harness:
+            reader, writer = await connect(harness)
+            writer.write(VALID + b"nonsense\r\n\r\n")
+            respond(harness, await wait_for_request(harness))
+            assert (await read_response(reader))[0] == 200
+            assert (await read_response(reader))[0] == 400
+            assert await read_end(reader) == b""
+
+    run(work)
+
+
+def test_a_refused_body_that_is_still_sent_does_not_hide_the_refusal():
+    # Guards against a reset that reaches the caller before the refusal.
+    async def work():
+        async with run_callers(body_bytes=200) as harness:
+            reader, writer = await connect(harness)
+            writer.write(
+                HEAD + b"Request-Id: r1\r\nContent-Length: 400000\r\n\r\n"
+            )
+            for _ in range(4):
+                writer.write(b"b" * 100_000)
+                await asyncio.sleep(0.01)
+            assert (await read_response(reader))[0] == 413
+
+    run(work)
+
+
+def test_responses_that_are_not_read_hold_back_further_requests():
+    # Guards against responses without bound in the memory of the process.
+    async def work():
+        async with run_callers() as harness:
+            reader, writer = await connect(harness)
+            writer.write(VALID * 50)
+            body, count = b"b" * 4_000_000, 0
+            while count < 50:
+                found = harness.read_new_records("requests")
+                if not found:
+                    await asyncio.sleep(0.2)
+                    found = harness.read_new_records("requests")
+                if not found:
+                    break
+                for request in found:
+                    count += 1
+                    respond(harness, request, body=body)
+                    await asyncio.sleep(0.01)
+            assert count < 10
+            budget = harness.component.context.connections.budget
+            assert budget.held_bytes < 3 * len(body)
+            # Once the caller reads, the others are served.
+            for _ in range(count):
+                assert len((await read_response(reader))[2]) == len(body)
+            await wait_for_request(harness)
+
+    run(work)
+
+
+def test_a_stalled_body_is_refused_as_not_run_to_make_room():
+    async def work():
+        async with run_callers() as harness:
+            budget = harness.component.context.connections.budget
+            budget.memory_bytes = 2_000_000
+            reader, writer = await connect(harness)
+            head = HEAD + b"Request-Id: r1\r\nContent-Length: 1000000\r\n\r\n"
+            writer.write(head + b"b" * 900_000)
+            await asyncio.sleep(0.4)
+            _, other = await connect(harness)
+            other.write(head + b"b" * 1_000_000)
+            status, answer_head, _ = await read_response(reader)
+            assert status == 503
+            assert b"Retry-After" in answer_head
+            assert len((await wait_for_request(harness)).body) == 1_000_000
+
+    run(work)
+
+
+def test_a_body_in_chunks_of_a_byte_leaves_turns_for_others():
+    # Guards against ordinary requests that wait for a megabyte of tiny chunks,
+    # and against a legal request that is not served.
+    async def work():
+        async with run_callers() as harness:
+            _, writer = await connect(harness)
+            writer.write(CHUNKED + b"1\r\nb\r\n" * 100_000)
+            _, other = await connect(harness)
+            other.write(VALID.replace(b"r1", b"r2"))
+            assert (await wait_for_request(harness)).request_id == b"r2"
+            writer.write(b"0\r\n\r\n")
+            assert len((await wait_for_request(harness)).body) == 100_000
+
+    run(work)
+
+
+def test_a_connection_that_ends_holds_nothing():
+    # Guards against memory that stays counted, so that the budget fills up.
+    async def work():
+        async with run_callers() as harness:
+            budget = harness.component.context.connections.budget
+            for data in (b"", VALID, HEAD, CHUNKED + b"3\r\nabc", b"\0"):
+                _, writer = await connect(harness)
+                writer.write(data)
+                await asyncio.sleep(0.02)
+                assert budget.held_bytes > 0
+                writer.transport.abort()
+            await component_runner.wait_for(lambda: not budget.held_bytes)
+            assert budget.connection_count == 0
+
+    run(work)
--- a/tests/entry/transports/test_entry_decoder_fuzz.py
+++ b/tests/entry/transports/test_entry_decoder_fuzz.py
@@ -11,13 +11,15 @@
 import msgpack
 import pytest
 
-from bramleyfork.entry import declarations
 from bramleyfork.entry import feeds
 from bramleyfork.entry.controllers import observations
 from bramleyfork.entry.transports import http_client
 from bramleyfork.entry.transports import peers
 from bramleyfork.entry.transports import receive_budgets
-from bramleyfork.entry.transports import server_connections
+from bramleyfork.listeners import budgets
+from bramleyfork.listeners import limits
+from bramleyfork.listeners import resources
+from bramleyfork.listeners import server_connections
 import platform_store
 from tests.entry import boards
 
@@ -28,6 +30,9 @@
     def time(self):
         return 100.0
 
+    def call_soon(self, call):
+        call()
+
 
 class Transport:
     """Keeps what a connection writes; ends it as a socket would."""
@@ -55,19 +60,27 @@
 
     resume_reading = pause_reading
 
+    def can_write_eof(self):
+        return False
+
 
 class Handler:
     """Answers each request at once and keeps it."""
 
     def __init__(self):
-        self.limits = declarations.CallerLimits(header_bytes=256, body_bytes=64)
+        self.resources = resources.LoopResources(budget=budgets.build_budget())
+        self.limits = limits.CallerLimits(header_bytes=256, body_bytes=64)
         self.is_closing = False
+        self.linger_bytes = 100
         self.requests = []
 
     def handle_request(self, connection, http_request):
         self.requests.append(http_request)
         connection.respond(200, (), b"ok")
 
+    def build_refusal(self, status):
+        return (), b""
+
     def add_connection(self, connection):
         pass
 
@@ -118,6 +131,7 @@
         assert request.method
     assert transport.written.count(b"HTTP/1.1 200") == len(handler.requests)
     connection.connection_lost(None)
+    assert handler.resources.budget.held_bytes == 0
 
 
 RESPONSE_FRAGMENTS = [
--- a/tests/platform_adapter/test_platform_settings.py
+++ b/tests/platform_adapter/test_platform_settings.py
@@ -17,7 +17,13 @@
         "control": "10.1.0.9:8106",
         "directory": "10.1.0.9:8100",
     },
-    "limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 100.0},
+    "limits": {
+        "cpu_share": 0.5,
+        "cores": 2,
+        "link_mbps": 100.0,
+        "memory_mb": 300,
+        "max_fds": 4100,
+    },
     "internal_ports": [7380, 7395],
     "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
     "bounds": {
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -23,6 +23,8 @@
             "tests/entry",
             "tests/platform_adapter",
             "tests/transports",
+            "tests/listeners",
+            "tests/crowds",
         ],
         cwd=ROOT,
         capture_output=True,
