Read requests of the daemon whole before a thread takes them

What callers saw: no answer while 64 clients stalled a byte short of a body, or after one client's 3,000 malformed requests; a 503 beside them.

Cause: a thread of cheroot waits for the bytes of its request for up to 5 s, so as many stalled clients as there are threads stop the daemon. Connections were bounded by no budget, and a stream to another daemon could hold a message of 1 MiB before its hello.

Change: the daemon's HTTP listeners use bramleyfork.listeners; threads run the CherryPy application on whole requests. A hello has 16 KiB. All listeners of the process share one budget (setting memory_mb).

--- a/src/bramleyfork/codecs/frames.py
+++ b/src/bramleyfork/codecs/frames.py
@@ -111,6 +111,11 @@
             max_ext_len=0,
         )
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Number of bytes of the message that is incomplete."""
+        return self._fed_bytes - self._message_start
+
     def feed(
         self, data: bytes, now: float
     ) -> expression.Result[list[Frame], FrameError]:
@@ -141,13 +146,12 @@
         """Returns an error if the stream ended within a message."""
         if self._error is not None:
             return expression.Error(self._error)
-        unfinished_bytes = self._fed_bytes - self._message_start
-        if unfinished_bytes:
+        if self.unfinished_bytes:
             return expression.Error(
                 FrameError(
                     reason="truncated",
-                    detail=f"the stream ended after {unfinished_bytes} bytes"
-                    " of a message",
+                    detail="the stream ended after"
+                    f" {self.unfinished_bytes} bytes of a message",
                 )
             )
         return expression.Ok(None)
@@ -174,7 +178,7 @@
             ) from None
         # Msgpack consumes the items of an unfinished array as they arrive, so
         # its buffer limit does not bound the size of a message.
-        self._check_size(self._fed_bytes - self._message_start)
+        self._check_size(self.unfinished_bytes)
 
     def _check_size(self, size: int) -> None:
         if size > MAX_MESSAGE_BYTES:
--- a/src/bramleyfork/configuration/settings.py
+++ b/src/bramleyfork/configuration/settings.py
@@ -70,6 +70,15 @@
         high=1024,
         purpose="Maximum number of attempts in flight.",
     ),
+    option_schemas.Option(
+        key="memory_mb",
+        type="integer",
+        default=200,
+        unit="MB",
+        low=64,
+        high=1_000_000,
+        purpose="Memory that the process may use.",
+    ),
     option_schemas.Option(
         key="log_level",
         type="choice",
@@ -87,6 +96,7 @@
 
 
 _TICKET_KEY_BYTES = 16
+_BYTES_PER_MB = 1_000_000
 
 
 class _ProcessSecret(records.Record):
@@ -117,6 +127,7 @@
       seeds: Peer addresses to contact at start; may include this host.
       caller_threads: Maximum number of queries served concurrently.
       target_threads: Maximum number of attempts in flight.
+      memory_mb: Memory that the process may use, MB.
       log_level: Lowest level of logs written.
       cut_file: For tests: file that lists hosts whose traffic is blocked.
     """
@@ -133,6 +144,7 @@
         "seeds",
         "caller_threads",
         "target_threads",
+        "memory_mb",
         "log_level",
         "cut_file",
     )
@@ -151,6 +163,7 @@
         seeds: tuple[str, ...] = (),
         caller_threads: int = 64,
         target_threads: int = 64,
+        memory_mb: int = 200,
         log_level: str = "INFO",
         cut_file: str | None = None,
     ):
@@ -165,10 +178,16 @@
         self.seeds = seeds
         self.caller_threads = caller_threads
         self.target_threads = target_threads
+        self.memory_mb = memory_mb
         self.log_level = log_level
         self.cut_file = cut_file
         self.ticket_key = secrets.token_bytes(_TICKET_KEY_BYTES)
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the process may use, bytes."""
+        return self.memory_mb * _BYTES_PER_MB
+
 
 def load_settings(
     path: str | pathlib.Path,
--- a/src/bramleyfork/core/transports.py
+++ b/src/bramleyfork/core/transports.py
@@ -22,6 +22,8 @@
       board: The blackboard of the process.
       settings: Settings of the daemon (``configuration.settings.Settings``).
       clock: Source of monotonic time.
+      budget: Budget of the process for the connections of clients
+        (``listeners.budgets.ConnectionBudget``); None if it doesn't listen.
 
     Attributes:
       name: Registered name; also the writer name of the sections it owns.
@@ -35,10 +37,12 @@
         board: blackboard.Blackboard,
         settings: typing.Any,
         clock: clocks.Clock,
+        budget: typing.Any = None,
     ):
         self.board = board
         self.settings = settings
         self.clock = clock
+        self.budget = budget
 
     def start(self) -> None:
         """Starts the threads; returns once the listeners are open."""
--- a/src/bramleyfork/daemon.py
+++ b/src/bramleyfork/daemon.py
@@ -20,6 +20,7 @@
 from bramleyfork.core import module_loading
 from bramleyfork.core import sections
 from bramleyfork.core import transports
+from bramleyfork.listeners import budgets
 
 _SETTINGS = flags.DEFINE_string(
     "settings", None, "TOML file with the settings of this host."
@@ -70,8 +71,11 @@
             controller_class(board=self.board, settings=settings)
             for _, controller_class in controllers.CONTROLLERS.list_items()
         ]
+        budget = budgets.build_budget(memory_bytes=settings.memory_bytes)
         self._transports = [
-            transport_class(board=self.board, settings=settings, clock=clock)
+            transport_class(
+                board=self.board, settings=settings, clock=clock, budget=budget
+            )
             for _, transport_class in transports.TRANSPORTS.list_items()
         ]
         self._loops = [
--- a/src/bramleyfork/transports/administration.py
+++ b/src/bramleyfork/transports/administration.py
@@ -1,7 +1,6 @@
 """The read-only HTTP interface for operators: state pages and metrics."""
 
 import collections.abc
-import threading
 import typing
 
 import cherrypy
@@ -17,6 +16,7 @@
 
 _THREADS = 4  # For operators and one or two metrics scrapers.
 _STOP_TIMEOUT_S = 2.0
+_MAX_BODY_BYTES = 16 * 1024  # Requests for pages have no body.
 _JSON_TYPE = "application/json"
 _METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -34,7 +34,6 @@
         super().__init__(**arguments)
         self._metrics = metrics.BoardMetrics(board=self.board)
         self._server: servers.Server | None = None
-        self._thread: threading.Thread | None = None
 
     @property
     def address(self) -> str:
@@ -47,12 +46,13 @@
             address=self.settings.administration_address,
             root=_build_tree(self),
             threads=_THREADS,
-            clock=self.clock,
+            max_body_bytes=_MAX_BODY_BYTES,
+            budget=self.budget,
             overload_body=caller_messages.encode_document(
                 {"code": "overloaded"}
             ),
         )
-        self._thread = servers.start_server(self._server, "administration")
+        self._server.start("administration")
 
     def stop(self) -> None:
         """Closes the listener and ends the threads."""
@@ -60,7 +60,6 @@
             return
         self._server.shutdown_timeout = _STOP_TIMEOUT_S
         self._server.stop()
-        self._thread.join(_STOP_TIMEOUT_S)
 
     def render_metrics(self) -> bytes:
         """Returns the metrics of the process in the Prometheus format."""
--- a/src/bramleyfork/transports/callers.py
+++ b/src/bramleyfork/transports/callers.py
@@ -1,5 +1,6 @@
 """The HTTP interface for callers: queries, placement, health and readiness."""
 
+import collections
 import itertools
 import logging
 import math
@@ -20,6 +21,7 @@
 from bramleyfork.decisions import placement
 from bramleyfork.decisions import readiness
 from bramleyfork.decisions import tickets
+from bramleyfork.listeners import budgets
 from bramleyfork.transports import metrics
 from bramleyfork.transports import servers
 
@@ -33,7 +35,6 @@
 _STOP_GRACE_S = 1.0  # Beyond the longest deadline, for writing answers.
 _MAX_TICKETS = 32  # In one placement answer.
 _MAX_CALLER_CHARS = 100  # Longer names of callers are cut off.
-_MAX_DRAINED_BYTES = 1024 * 1024  # Read and dropped beyond the body limit.
 _JSON_TYPE = "application/json"
 
 
@@ -61,6 +62,8 @@
 
     Attributes:
       metrics: Counts and latencies of the answers.
+      counters: Requests that were refused before they were read whole, by
+        status, and evicted connections of all listeners, by reason.
     """
 
     def __init__(self, **arguments: typing.Any):
@@ -71,9 +74,15 @@
         self._query_numbers = itertools.count(1)
         self._ticket_numbers = itertools.count(1)
         self.metrics = metrics.QueryMetrics()
+        self.budget = self.budget or budgets.build_budget()
+        # Updated in place by the server and the budget.
+        self.counters: dict[str, collections.Counter[str]] = {
+            "refused_requests": collections.Counter(),
+            "evicted_connections": self.budget.counters,
+        }
         self._stopping = threading.Event()
         self._server: servers.Server | None = None
-        self._threads: list[threading.Thread] = []
+        self._dispatcher: threading.Thread | None = None
 
     @property
     def address(self) -> str:
@@ -86,7 +95,9 @@
             address=self.settings.caller_address,
             root=_build_tree(self),
             threads=self.settings.caller_threads,
-            clock=self.clock,
+            max_body_bytes=caller_messages.MAX_BODY_BYTES,
+            budget=self.budget,
+            refusals=self.counters["refused_requests"],
             overload_body=caller_messages.encode_answer(
                 answers.build_refusal(
                     "",
@@ -99,10 +110,8 @@
             target=self._dispatch_answers, name="answers", daemon=True
         )
         dispatcher.start()
-        self._threads = [
-            dispatcher,
-            servers.start_server(self._server, "callers"),
-        ]
+        self._dispatcher = dispatcher
+        self._server.start("callers")
 
     def stop(self) -> None:
         """Closes the listener and waits for the queries in flight.
@@ -118,8 +127,7 @@
         self._server.shutdown_timeout = max_deadline_s + _STOP_GRACE_S
         self._server.stop()
         self._stopping.set()
-        for thread in self._threads:
-            thread.join(2 * _DISPATCH_WAIT_S)
+        self._dispatcher.join(2 * _DISPATCH_WAIT_S)
 
     def _dispatch_answers(self) -> None:
         while not self._stopping.is_set():
@@ -245,22 +253,8 @@
             return answers.build_refusal(
                 query_id, "stopped", detail="the host has stopped"
             )
-        try:
-            body = _read_body()
-        except TimeoutError:
-            servers.close_after_answer()
-            return answers.build_refusal(
-                query_id,
-                "deadline_past",
-                detail="the body did not arrive in full before the timeout",
-            )
-        except ValueError as error:
-            servers.close_after_answer()
-            return answers.build_refusal(
-                query_id, "malformed", detail=str(error)
-            )
         decoded = caller_messages.decode_query(
-            body,
+            cherrypy.request.rfile.read(),
             query_id=query_id,
             caller=_get_caller_name(),
             received_at=received_at,
@@ -389,27 +383,6 @@
     return servers.respond(400, body, _JSON_TYPE)
 
 
-def _read_body() -> bytes:
-    """Reads the request's body, at most one byte beyond the limit.
-
-    Raises:
-      TimeoutError: The body did not arrive before the timeout.
-      ValueError: Its framing is invalid, or it is shorter than announced.
-    """
-    stream = cherrypy.request.rfile
-    body = stream.read(caller_messages.MAX_BODY_BYTES + 1)
-    if len(body) > caller_messages.MAX_BODY_BYTES:
-        # Closing a socket with unread data resets the connection, and the
-        # caller may then not receive the refusal. So some of the excess is
-        # read and dropped.
-        stream.read(_MAX_DRAINED_BYTES)
-    content_length = cherrypy.request.headers.get("Content-Length")
-    expected = min(int(content_length or 0), caller_messages.MAX_BODY_BYTES + 1)
-    if len(body) < expected:
-        raise ValueError("the body is shorter than its Content-Length")
-    return body
-
-
 def _get_caller_name() -> str:
     name = cherrypy.request.headers.get("Caller-Name", "")
     return name[:_MAX_CALLER_CHARS] or cherrypy.request.remote.ip
--- a/src/bramleyfork/transports/peer_connections.py
+++ b/src/bramleyfork/transports/peer_connections.py
@@ -10,6 +10,7 @@
 from bramleyfork.core import records
 from bramleyfork.core import requests
 from bramleyfork.core import verdicts
+from bramleyfork.listeners import budgets
 from bramleyfork.transports import peer_counters
 from bramleyfork.transports import peer_encoder
 from bramleyfork.transports import peer_handshake
@@ -40,6 +41,7 @@
       receiver: Writes received messages to the blackboard.
       counters: Traffic by kind of message.
       injected_partitions: Hosts to which traffic is blocked by a test.
+      budget: Budget of the process, in which accepted streams count.
     """
 
     __slots__ = (
@@ -50,6 +52,7 @@
         "_receiver",
         "_counters",
         "_injected_partitions",
+        "_budget",
         "_streams",
         "_links_to_flush",
         "_tasks",
@@ -68,6 +71,7 @@
         receiver: peer_receiver.PeerReceiver,
         counters: peer_counters.TrafficCounters,
         injected_partitions: peer_partitions.InjectedPartitions,
+        budget: budgets.ConnectionBudget,
     ):
         self._settings = settings
         self._clock = clock
@@ -76,6 +80,7 @@
         self._receiver = receiver
         self._counters = counters
         self._injected_partitions = injected_partitions
+        self._budget = budget
         self._streams: set[peer_streams.Stream] = set()
         self._links_to_flush: dict[peer_links.Link, None] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -157,7 +162,10 @@
     def build_stream(self) -> peer_streams.Stream:
         """Returns the asyncio protocol for an accepted connection."""
         return peer_streams.Stream(
-            callbacks=self, clock=self._clock, own_host=self._settings.host
+            callbacks=self,
+            clock=self._clock,
+            own_host=self._settings.host,
+            budget=self._budget,
         )
 
     def handle_connected(self, stream: peer_streams.Stream) -> None:
--- a/src/bramleyfork/transports/peer_streams.py
+++ b/src/bramleyfork/transports/peer_streams.py
@@ -7,11 +7,16 @@
 from bramleyfork.codecs import frames
 from bramleyfork.core import clocks
 from bramleyfork.core import messages
+from bramleyfork.listeners import budgets
 
 # The kernel closes a connection whose bytes stay unacknowledged for this long.
 # Otherwise it would wait up to two minutes between retransmissions and keep
 # the stream unusable long after a network partition has healed.
 _TCP_USER_TIMEOUT_MS = 3000
+# Bytes that a host may send before its hello has been accepted. A hello has a
+# few short fields.
+_MAX_HELLO_BYTES = 16 * 1024
+_STREAM_BYTES = 8 * 1024  # Memory of a stream without a message.
 
 
 class StreamCallbacks(typing.Protocol):
@@ -44,7 +49,7 @@
       expected_host: Host that an outgoing connection must lead to; None if the
         name is not known.
       dialled_address: Address of an outgoing connection; None for an accepted
-        one.
+        one, which counts in the budget of the process.
       host: Name of the peer's host; None until its hello is accepted.
       incarnation: Incarnation of the peer's process; valid if ``host`` is set.
       handshake_done: Future that is done when ``host`` is set or the connection
@@ -58,6 +63,8 @@
         "incarnation",
         "handshake_done",
         "_callbacks",
+        "_budget",
+        "_account",
         "_clock",
         "_decoder",
         "_hello_received",
@@ -72,6 +79,7 @@
         own_host: str,
         expected_host: str | None = None,
         dialled_address: str | None = None,
+        budget: budgets.ConnectionBudget | None = None,
     ):
         self.expected_host = expected_host
         self.dialled_address = dialled_address
@@ -79,6 +87,8 @@
         self.incarnation = 0
         self.handshake_done = asyncio.get_running_loop().create_future()
         self._callbacks = callbacks
+        self._budget = budget
+        self._account: budgets.Account | None = None
         self._clock = clock
         self._decoder = frames.FrameDecoder(host=own_host)
         self._hello_received = False
@@ -113,11 +123,17 @@
             _TCP_USER_TIMEOUT_MS,
         )
         self._callbacks.handle_connected(self)
+        if self._budget is not None:
+            self._open_account()
 
     def data_received(self, data: bytes) -> None:
         """Decodes messages and passes them on; called by asyncio."""
         if self._transport.is_closing():
             return
+        self._decode(data)
+        self._update_account()
+
+    def _decode(self, data: bytes) -> None:
         result = self._decoder.feed(data, self._clock.read_monotonic())
         if result.is_error():
             self._callbacks.handle_protocol_error(self, result.error)
@@ -135,6 +151,30 @@
             return
         if batch and self.host is not None:
             self._callbacks.handle_frames(self, batch)
+        if self.host is None:
+            self._check_hello_size()
+
+    def _check_hello_size(self) -> None:
+        if self._decoder.unfinished_bytes > _MAX_HELLO_BYTES:
+            self._reject(f"no hello in the first {_MAX_HELLO_BYTES} bytes")
+
+    def _open_account(self) -> None:
+        now = self._clock.read_monotonic()
+        self._account = self._budget.open_account(
+            evict=self.abort, loop=asyncio.get_running_loop(), now=now
+        )
+        self._account.admit(now)
+        self._update_account()
+
+    def _update_account(self) -> None:
+        if self._account is None or self._transport.is_closing():
+            return
+        now = self._clock.read_monotonic()
+        self._account.is_idle = not self._decoder.unfinished_bytes
+        if self.host is not None:
+            # A known host is waited for, not evicted.
+            self._account.is_working = True
+        self._account.hold(_STREAM_BYTES + self._decoder.unfinished_bytes, now)
 
     def eof_received(self) -> None:
         """Reports a truncated last message; called by asyncio."""
@@ -146,6 +186,8 @@
         """Reports the end of the connection; called by asyncio."""
         if not self.handshake_done.done():
             self.handshake_done.set_result(None)
+        if self._account is not None:
+            self._account.close()
         self._callbacks.handle_disconnected(self)
 
     def complete_handshake(self, hello: messages.Hello) -> None:
--- a/src/bramleyfork/transports/peers.py
+++ b/src/bramleyfork/transports/peers.py
@@ -11,6 +11,8 @@
 from bramleyfork.core import messages
 from bramleyfork.core import records
 from bramleyfork.core import transports
+from bramleyfork.listeners import budgets
+from bramleyfork.listeners import sockets
 from bramleyfork.transports import peer_connections
 from bramleyfork.transports import peer_counters
 from bramleyfork.transports import peer_encoder
@@ -57,8 +59,11 @@
         board: blackboard.Blackboard,
         settings: records.Record,
         clock: clocks.Clock,
+        budget: budgets.ConnectionBudget | None = None,
     ):
-        super().__init__(board=board, settings=settings, clock=clock)
+        super().__init__(
+            board=board, settings=settings, clock=clock, budget=budget
+        )
         self.counters = peer_counters.TrafficCounters()
         self.address = settings.peer_address
         self._cursors = {
@@ -132,6 +137,7 @@
             injected_partitions=peer_partitions.InjectedPartitions(
                 path=self.settings.cut_file
             ),
+            budget=self.budget or budgets.build_budget(),
         )
 
     def _run(self) -> None:
@@ -147,8 +153,8 @@
     async def _serve(self) -> None:
         loop = asyncio.get_running_loop()
         ip, port = peer_streams.parse_address(self.settings.peer_address)
-        server = await loop.create_server(
-            self._connection_manager.build_stream, ip, port, backlog=1024
+        server = await sockets.open_server(
+            self._connection_manager.build_stream, (ip, port)
         )
         ip, port = server.sockets[0].getsockname()[:2]
         self.address = f"{ip}:{port}"
--- a/src/bramleyfork/transports/platform.py
+++ b/src/bramleyfork/transports/platform.py
@@ -231,8 +231,11 @@
         board: blackboard.Blackboard,
         settings: typing.Any,
         clock: clocks.Clock,
+        budget: typing.Any = None,
     ):
-        super().__init__(board=board, settings=settings, clock=clock)
+        super().__init__(
+            board=board, settings=settings, clock=clock, budget=budget
+        )
         writer = board.grant_writer("platform_results", self.name)
         # The cursors are opened before the start, so that reads requested
         # earlier are executed as well.
--- a/src/bramleyfork/transports/servers.py
+++ b/src/bramleyfork/transports/servers.py
@@ -1,146 +1,259 @@
-"""HTTP server for CherryPy applications, on cheroot without CherryPy's engine.
+"""HTTP server for CherryPy applications.
 
-It bounds idle connections, queued requests and the time in which a request
-must arrive.
+Requests are read whole on an event loop, so that a client that sends slowly
+occupies no thread, and are then served by a bounded number of threads.
 """
 
-import contextlib
-import io
+import asyncio
+import collections
+import collections.abc
 import json
-import queue
-import socket
 import threading
-import time
 import typing
 
-import cheroot.makefile
-import cheroot.server
-import cheroot.wsgi
 import cherrypy
 
-from bramleyfork.core import clocks
-
-# Timeout for a whole request, head and body, from its first byte.
+from bramleyfork.listeners import budgets
+from bramleyfork.listeners import http_heads
+from bramleyfork.listeners import http_requests
+from bramleyfork.listeners import limits
+from bramleyfork.listeners import resources
+from bramleyfork.listeners import server_connections
+from bramleyfork.listeners import sockets
+from bramleyfork.listeners import timeouts
+from bramleyfork.transports import wsgi_workers
+
+# Timeout for the head of a request, and again for its body.
 _REQUEST_READ_S = 5.0
-_KEEP_ALIVE_S = 30  # Idle connections are closed after this time.
-_MAX_IDLE_CONNECTIONS = 1000  # Further ones are closed after their answer.
+_KEEP_ALIVE_S = 30.0  # Idle connections are closed after this time.
 _MAX_HEAD_BYTES = 16 * 1024  # Request line and headers.
-_BACKLOG = 512  # Connections that the kernel queues before they are accepted.
-# Requests queued per thread. Most deadlines are under a second, so a request
-# that would have to wait longer is refused at once.
-_MAX_QUEUED_PER_THREAD = 2
-
-
-class _DeadlineSocket(socket.SocketIO):
-    """A socket whose reads share one deadline.
-
-    cheroot's timeout applies to each read, so a client that sends single bytes
-    slowly could occupy a thread for hours.
-
-    Attributes:
-      deadline: Time after which reads raise TimeoutError, monotonic seconds.
-    """
-
-    def __init__(self, sock: socket.socket):
-        super().__init__(sock, "rb")
-        self.deadline = time.monotonic() + _REQUEST_READ_S
-
-    def readinto(self, buffer: typing.Any) -> int | None:
-        remaining_s = self.deadline - time.monotonic()
-        if remaining_s <= 0:
-            raise TimeoutError("timed out")
-        self._sock.settimeout(remaining_s)
-        try:
-            return super().readinto(buffer)
-        finally:
-            self._sock.settimeout(_REQUEST_READ_S)
-
+_LINGER_BYTES = 1024 * 1024  # Dropped after a refusal.
+_START_TIMEOUT_S = 10.0
+# Interval at which a server that stops checks for requests in progress.
+_STOP_CHECK_INTERVAL_S = 0.01
+_STOP_TIMEOUT_S = 2.0  # For sending the last responses.
+_JSON_HEADERS = ((b"Content-Type", b"application/json"),)
+_REFUSAL_CODES = {408: "deadline_past", 413: "too_large", 503: "overloaded"}
+_REFUSAL_DETAILS = {
+    408: "the request did not arrive in full before the timeout",
+    413: "the body exceeds the limit",
+    431: "the head exceeds the limit",
+    503: "no room for more requests on this host",
+}
+
+
+class Server:
+    """An HTTP server for a WSGI application.
 
-class _DeadlineReader(cheroot.makefile.StreamReader):
-    """cheroot's stream reader on a socket with a deadline."""
-
-    def __init__(self, sock: socket.socket, size: int):
-        super().__init__(sock, "rb", size)
-        self._raw = _DeadlineSocket(sock)
-
-    def reset_deadline(self) -> None:
-        self.raw.deadline = time.monotonic() + _REQUEST_READ_S
-
-
-class _Connection(cheroot.server.HTTPConnection):
-    """A connection with a timeout for the arrival of each request.
+    Args:
+      address: IP address and port to listen on; for port 0 a free one is used.
+      application: The application.
+      threads: Number of requests that are served at the same time.
+      max_body_bytes: Maximum size of a request's body.
+      overload_body: JSON body of the answer 503 when too many requests are
+        queued.
+      budget: Budget of the process; None for one of its own.
+      refusals: Counter of refusals that others read; None for a new one.
 
     Attributes:
-      is_new: Whether it has not been passed to ``Server.process_conn`` yet.
-      ready_at: When the current request began to arrive, monotonic seconds.
+      bind_addr: IP address and port of the listener.
+      limits: Limits on requests and connections.
+      time_limits: Time limits of connections.
+      resources: What all connections of its event loop share.
+      is_closing: Whether connections are closed after their next response.
+      linger_bytes: Bytes that are read and dropped after a refusal.
+      shutdown_timeout: Seconds that ``stop`` waits for requests in progress.
+      refusals: Requests that were refused before they were read whole, by
+        status.
     """
 
-    def __init__(self, server: typing.Any, sock: socket.socket, *_: typing.Any):
-        super().__init__(server, sock)
-        self.rfile.close()
-        self.rfile = _DeadlineReader(sock, io.DEFAULT_BUFFER_SIZE)
-        self.is_new = True
-        self.ready_at = 0.0
-
-    def communicate(self) -> bool:
-        self.rfile.reset_deadline()
-        return super().communicate()
-
-
-class _Gateway(cheroot.wsgi.Gateway_10):
-    """Passes cheroot's request object to the application."""
-
-    def get_environ(self) -> dict[str, typing.Any]:
-        environ = super().get_environ()
-        environ["bramleyfork.request"] = self.req
-        return environ
-
-
-class Server(cheroot.wsgi.Server):
-    """A cheroot server that bounds idle connections and queued requests."""
-
-    ConnectionClass = _Connection
-    keep_alive_conn_limit = _MAX_IDLE_CONNECTIONS
-    max_request_header_size = _MAX_HEAD_BYTES
-    clock: clocks.Clock
-    overload_body = b"{}"
-
-    def process_conn(self, conn: typing.Any) -> None:
-        """Queues a connection that has data to read; called by cheroot.
+    __slots__ = (
+        "bind_addr",
+        "limits",
+        "time_limits",
+        "resources",
+        "is_closing",
+        "linger_bytes",
+        "shutdown_timeout",
+        "refusals",
+        "_overload_body",
+        "_workers",
+        "_connections",
+        "_in_progress",
+        "_loop",
+        "_stopping",
+        "_started",
+        "_error",
+        "_thread",
+    )
 
-        cheroot would pass a new connection to a thread before any data has
-        arrived, so that silent connections could occupy all threads.
+    def __init__(
+        self,
+        *,
+        address: tuple[str, int],
+        application: wsgi_workers.Application,
+        threads: int,
+        max_body_bytes: int,
+        overload_body: bytes,
+        budget: budgets.ConnectionBudget | None,
+        refusals: collections.Counter[str] | None = None,
+    ):
+        self.bind_addr = address
+        self.limits = limits.CallerLimits(
+            header_bytes=_MAX_HEAD_BYTES, body_bytes=max_body_bytes
+        )
+        self.time_limits = timeouts.TimeLimits(
+            header_s=_REQUEST_READ_S,
+            body_s=_REQUEST_READ_S,
+            idle_s=_KEEP_ALIVE_S,
+        )
+        self.resources = resources.LoopResources(
+            budget=budget or budgets.build_budget()
+        )
+        self.is_closing = False
+        self.linger_bytes = _LINGER_BYTES
+        self.shutdown_timeout = 0.0
+        self.refusals = collections.Counter() if refusals is None else refusals
+        self._overload_body = overload_body
+        self._workers = wsgi_workers.Workers(
+            application=application, threads=threads, address=address
+        )
+        self._connections: set[server_connections.ServerConnection] = set()
+        self._in_progress = 0
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._stopping: asyncio.Event | None = None
+        self._started = threading.Event()
+        self._error: BaseException | None = None
+        self._thread: threading.Thread | None = None
+
+    def start(self, name: str) -> None:
+        """Starts the threads; returns once the server listens.
+
+        Args:
+          name: Name of the threads.
+
+        Raises:
+          OSError: The address can't be bound.
+          TimeoutError: The listener did not start in time.
+        """
+        self._workers.start(name)
+        self._thread = threading.Thread(
+            target=self._run, name=name, daemon=True
+        )
+        self._thread.start()
+        if not self._started.wait(_START_TIMEOUT_S):
+            raise TimeoutError(
+                f"listener on {self.bind_addr!r} did not start in time"
+            )
+        if self._error is not None:
+            raise self._error
+
+    def stop(self) -> None:
+        """Closes the listener, waits for requests in progress and ends.
+
+        It waits for ``shutdown_timeout`` seconds at most.
         """
-        if conn.is_new:
-            conn.is_new = False
-            if self.can_add_keepalive_connection:
-                self.put_conn(conn)
-            else:
-                conn.close()
+        if self._thread is None or not self._thread.is_alive():
             return
-        conn.ready_at = self.clock.read_monotonic()
-        try:
-            self.requests.put(conn)
-        except queue.Full:
-            self._refuse(conn)
-
-    def _refuse(self, conn: typing.Any) -> None:
-        """Sends status 503 from the accepting thread, without blocking.
+        self._loop.call_soon_threadsafe(self._stopping.set)
+        self._thread.join(self.shutdown_timeout + _STOP_TIMEOUT_S)
+        self._workers.stop()
 
-        Arrived data is read first, because closing a socket with unread data
-        resets the connection before the client has received the answer.
-        """
-        head = (
-            "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
-            "Content-Type: application/json\r\n"
-            f"Content-Length: {len(self.overload_body)}\r\n\r\n"
+    def _run(self) -> None:
+        try:
+            asyncio.run(self._serve())
+        except OSError as error:
+            self._error = error
+        finally:
+            self._started.set()
+
+    async def _serve(self) -> None:
+        loop = asyncio.get_running_loop()
+        server = await sockets.open_server(
+            lambda: server_connections.ServerConnection(
+                handler=self, loop=loop
+            ),
+            self.bind_addr,
         )
-        with contextlib.suppress(OSError):
-            conn.socket.setblocking(False)
-            with contextlib.suppress(BlockingIOError):
-                conn.socket.recv(_MAX_HEAD_BYTES + io.DEFAULT_BUFFER_SIZE)
-            conn.socket.send(head.encode("ascii") + self.overload_body)
-        conn.close()
+        self.bind_addr = server.sockets[0].getsockname()[:2]
+        self._stopping = asyncio.Event()
+        self._loop = loop
+        self._started.set()
+        while not self._stopping.is_set():
+            timeouts.check_connections(
+                self._connections, self.time_limits, loop.time()
+            )
+            try:
+                async with asyncio.timeout(timeouts.CHECK_INTERVAL_S):
+                    await self._stopping.wait()
+            except TimeoutError:
+                continue
+        self.is_closing = True
+        server.close()
+        await self._wait_for_requests(loop.time() + self.shutdown_timeout)
+
+    async def _wait_for_requests(self, deadline_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        while self._in_progress and loop.time() < deadline_at:
+            await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
+        for connection in list(self._connections):
+            connection.close()
+        # Lets the connections send what is buffered.
+        end_at = loop.time() + _STOP_TIMEOUT_S
+        while self._connections and loop.time() < end_at:
+            await asyncio.sleep(_STOP_CHECK_INTERVAL_S)
+
+    # Called by connections.
+
+    def add_connection(
+        self, connection: server_connections.ServerConnection
+    ) -> None:
+        """Adds a new connection."""
+        self._connections.add(connection)
+
+    def remove_connection(
+        self, connection: server_connections.ServerConnection
+    ) -> None:
+        """Removes a connection that has ended."""
+        self._connections.discard(connection)
+
+    def handle_request(
+        self,
+        connection: server_connections.ServerConnection,
+        http_request: http_requests.HttpRequest,
+    ) -> None:
+        """Passes a request to a thread; refuses it if too many wait."""
+
+        def send(response: wsgi_workers.WsgiResponse) -> None:
+            self._loop.call_soon_threadsafe(self._respond, connection, response)
+
+        work = wsgi_workers.Work(
+            request=http_request, remote=connection.caller, on_response=send
+        )
+        if self._workers.try_add(work):
+            self._in_progress += 1
+            return
+        http_request.keeps_alive = False
+        connection.respond(503, _JSON_HEADERS, self._overload_body)
+
+    def build_refusal(self, status: int) -> tuple[http_heads.Headers, bytes]:
+        """Returns headers and body of the refusal of an incomplete request."""
+        self.refusals[str(status)] += 1
+        body = {
+            "code": _REFUSAL_CODES.get(status, "malformed"),
+            "verdict": "NOT_RUN",
+            "detail": _REFUSAL_DETAILS.get(status, "the request is malformed"),
+        }
+        headers = (*_JSON_HEADERS, *http_heads.build_refusal_headers(status))
+        return headers, json.dumps(body, separators=(",", ":")).encode()
+
+    def _respond(
+        self,
+        connection: server_connections.ServerConnection,
+        response: wsgi_workers.WsgiResponse,
+    ) -> None:
+        self._in_progress -= 1
+        connection.respond(response.status, response.headers, response.body)
 
 
 def build_server(
@@ -148,8 +261,10 @@
     address: str,
     root: typing.Any,
     threads: int,
-    clock: clocks.Clock,
+    max_body_bytes: int,
     overload_body: bytes,
+    budget: budgets.ConnectionBudget | None,
+    refusals: collections.Counter[str] | None = None,
 ) -> Server:
     """Returns a server, not started, for the resources under ``root``.
 
@@ -157,24 +272,21 @@
       address: address:port to listen on.
       root: Tree of resources for cherrypy's method dispatcher.
       threads: Number of requests that are served at the same time.
-      clock: Source of monotonic time.
+      max_body_bytes: Maximum size of a request's body.
       overload_body: JSON body of the answer 503 when the queue is full.
+      budget: Budget of the process; None for one of its own.
+      refusals: Counter of refusals that others read; None for a new one.
     """
     name, _, port = address.rpartition(":")
-    server = Server(
-        (name.strip("[]"), int(port)),
-        build_application(root),
-        numthreads=threads,
-        server_name="bramleyfork",
-        request_queue_size=_BACKLOG,
-        timeout=_KEEP_ALIVE_S,
-        accepted_queue_size=threads * _MAX_QUEUED_PER_THREAD,
-        accepted_queue_timeout=0,
+    return Server(
+        address=(name.strip("[]"), int(port)),
+        application=build_application(root),
+        threads=threads,
+        max_body_bytes=max_body_bytes,
+        overload_body=overload_body,
+        budget=budget,
+        refusals=refusals,
     )
-    server.gateway = _Gateway
-    server.clock = clock
-    server.overload_body = overload_body
-    return server
 
 
 def build_application(root: typing.Any) -> cherrypy.Application:
@@ -218,32 +330,16 @@
     ).encode("utf-8")
 
 
-def start_server(server: Server, name: str) -> threading.Thread:
-    """Binds the server and serves in a new daemon thread.
-
-    Args:
-      server: The server.
-      name: Name of the thread.
-
-    Returns:
-      The thread.
-    """
-    server.prepare()
-    thread = threading.Thread(target=server.serve, name=name, daemon=True)
-    thread.start()
-    return thread
-
-
 def close_after_answer() -> None:
     """Closes the current request's connection after its answer."""
     environ = cherrypy.request.wsgi_environ
-    environ["bramleyfork.request"].close_connection = True
+    environ[wsgi_workers.REQUEST_KEY].keeps_alive = False
 
 
 def get_arrival_time() -> float:
     """Returns when the current request began to arrive, monotonic seconds."""
     environ = cherrypy.request.wsgi_environ
-    return environ["bramleyfork.request"].conn.ready_at
+    return environ[wsgi_workers.REQUEST_KEY].received_at
 
 
 def respond(status: int, body: bytes, content_type: str) -> bytes:
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -3,6 +3,7 @@
 import http.client
 import logging
 import threading
+import typing
 
 import urllib3.exceptions
 
@@ -47,8 +48,11 @@
         board: blackboard.Blackboard,
         settings,
         clock: clocks.Clock,
+        budget: typing.Any = None,
     ):
-        super().__init__(board=board, settings=settings, clock=clock)
+        super().__init__(
+            board=board, settings=settings, clock=clock, budget=budget
+        )
         self._cursor = board.find_log("attempts").open_cursor()
         self._writer = board.grant_writer("attempt_results", self.name)
         self._lease = board.find_table("lease")
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -39,10 +39,13 @@
     ("entry", "caller"),
     ("entry", "pages"),
     ("entry", "metrics"),
+    ("daemon", "caller"),
+    ("daemon", "administration"),
 ]
 FRAME_LISTENERS = [
     ("entry", "peer"),
     ("entry", "carrier"),
+    ("daemon", "peer"),
 ]
 CASES = [
     *((*listener, kind) for listener in HTTP_LISTENERS for kind in HTTP_KINDS),
--- a/tests/transports/test_callers.py
+++ b/tests/transports/test_callers.py
@@ -268,7 +268,7 @@
 
 def test_slow_body_is_refused(client, monkeypatch):
     # Guards against a body that arrives byte by byte and occupies a thread.
-    monkeypatch.setattr("bramleyfork.transports.servers._REQUEST_READ_S", 0.2)
+    monkeypatch.setattr(client.transport._server.time_limits, "body_s", 0.2)
     host, port = client.transport.address.rsplit(":", 1)
     with socket.create_connection((host, int(port)), timeout=5) as connection:
         connection.sendall(
