Share a large body among the attempts at its request

Cause: each attempt encoded its own copy of the request, and what a target doesn't read stays in the process: a body of 1 MiB in a gather over many shards, with hedges, was held once for each of them, outside of any budget.

Change: a body above 16 KiB is sent apart from its head, in pieces of 16 KiB, the next one when the kernel has taken all before it. All attempts refer to the same bytes. A connection whose target answers before it has read the body isn't reused.

--- a/src/bramleyfork/entry/transports/_request_encoder.py
+++ b/src/bramleyfork/entry/transports/_request_encoder.py
@@ -4,6 +4,7 @@
 from bramleyfork.entry import http_headers
 from bramleyfork.listeners import http_heads
 
+_LARGE_BODY_BYTES = 16 * 1024  # A larger body is sent apart from its head.
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 
 
@@ -24,21 +25,28 @@
         self._cached_request: exchanges.CallerRequest | None = None
         self._cached_head = b""
 
-    def encode(self, send: exchanges.TargetRequest, wait_ms: int) -> bytes:
-        """Returns the bytes of a request.
+    def encode(
+        self, send: exchanges.TargetRequest, wait_ms: int
+    ) -> tuple[bytes, bytes]:
+        """Returns the bytes of a request, and its body if that is large.
+
+        A large body isn't copied, as all attempts at the request share it.
 
         Args:
           send: The request and its target.
           wait_ms: Milliseconds after which the target may stop working on it.
         """
-        return b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
+        body = send.request.body
+        is_large = len(body) > _LARGE_BODY_BYTES
+        data = b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
             self._encode_shared_head(send.request),
             self._header_names.deadline_ms,
             wait_ms,
             self._header_names.expected_target,
             send.target.target.encode("latin-1"),
-            send.request.body,
+            b"" if is_large else body,
         )
+        return data, body if is_large else b""
 
     def _encode_shared_head(self, request: exchanges.CallerRequest) -> bytes:
         """Returns the head without the fields that differ by target."""
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -17,6 +17,8 @@
 _KEEP_ALIVE_MAX_S = 600  # A longer stated timeout counts as this one.
 # Maximum number of bytes of a response, with its head and its framing.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Bytes of a large body that are passed to the transport at once.
+_BODY_PIECE_BYTES = 16 * 1024
 # Maximum number of bytes without a byte of the body: of the head, of interim
 # responses, of chunk extensions or of trailers. None of them is counted by the
 # parser, which keeps an incomplete header field in memory.
@@ -96,6 +98,7 @@
         "is_closed_here",
         "_budget",
         "_loop",
+        "_unsent",
         "_on_response",
         "_on_closed",
         "_transport",
@@ -135,6 +138,8 @@
         self._on_response = on_response
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
+        # The part of a large body that hasn't been passed to the transport.
+        self._unsent = memoryview(b"")
         self._parser: typing.Any = None
         self._is_head = False
         self._expected_header: tuple[bytes, bytes] | None = None
@@ -153,18 +158,22 @@
         self._is_complete = False
         self._has_surplus_data = False
         self._keeps_alive = False
+        self._unsent = memoryview(b"")
 
     def send(
         self,
         data: bytes,
         *,
+        body: bytes = b"",
         is_head: bool = False,
         expected_header: tuple[bytes, bytes] | None = None,
     ) -> None:
         """Writes a whole request; the connection must be idle.
 
         Args:
-          data: The encoded request.
+          data: The encoded request, or its head if a body is given.
+          body: A large body, which is sent in pieces. The attempts at a request
+            share it, so that each one holds a piece only.
           is_head: Whether its method is HEAD.
           expected_header: Name in lower case and value of a header field that
             identifies the response. A response with another value belongs to
@@ -179,6 +188,25 @@
         self.request_count += 1
         self.last_used_at = self._loop.time()
         self._transport.write(data)
+        if body:
+            # Called back as soon as the kernel has accepted all that was
+            # written.
+            self._transport.set_write_buffer_limits(high=0)
+            self._unsent = memoryview(body)
+            self._send_pieces()
+
+    def _send_pieces(self) -> None:
+        """Writes pieces of the body for as long as the kernel accepts them."""
+        transport = self._transport
+        while (
+            self._unsent
+            and transport is not None
+            and not transport.is_closing()
+            and not transport.get_write_buffer_size()
+        ):
+            piece = self._unsent[:_BODY_PIECE_BYTES]
+            self._unsent = self._unsent[_BODY_PIECE_BYTES:]
+            transport.write(piece)
 
     def abort(self) -> None:
         """Closes the connection at once; ``on_response`` is not called."""
@@ -195,6 +223,13 @@
         self._transport = transport
         self.is_open = True
 
+    def pause_writing(self) -> None:
+        """Does nothing: the next piece is written once none is buffered."""
+
+    def resume_writing(self) -> None:
+        """Writes the next pieces of the body."""
+        self._send_pieces()
+
     def data_received(self, data: bytes) -> None:
         """Parses received data and reports the response once complete."""
         if not self.is_busy:
@@ -352,6 +387,7 @@
             and self._keeps_alive
             and self._transport is not None
             and self._transport.get_write_buffer_size() == 0
+            and not self._unsent
         )
         self.reusable_until = (
             now + _read_keep_alive(reply) if keeps_alive else 0.0
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -256,8 +256,10 @@
         attempt.sent_at = now
         self._by_connection[connection] = attempt
         header_names = self.context.header_names
+        head, large_body = self._encoder.encode(send, wait_ms)
         connection.send(
-            self._encoder.encode(send, wait_ms),
+            head,
+            body=large_body,
             is_head=send.request.method == b"HEAD",
             # An idempotent request is repeated at once instead of waiting for
             # its response behind one to an earlier request.
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import random
+import socket
 
 import pytest
 
@@ -905,3 +906,44 @@
             assert {reply.verdict for reply in found} == {NOT_RUN}
 
     run(work)
+
+
+LARGE_BODY = bytes(range(256)) * 4096  # 1 MiB
+MAX_SHARED_BODY_GROWTH_BYTES = 20 * 1024 * 1024
+
+
+def test_a_large_body_reaches_the_target_unchanged():
+    async def work():
+        async with run_targets() as (harness, replica):
+            for _ in range(3):
+                reply = await ask(harness, method=b"POST", body=LARGE_BODY)
+                assert reply.status == 200
+            bodies = [request.body for request in replica.started_requests]
+            assert bodies == [LARGE_BODY] * 3
+            assert replica.server.connections == 1
+
+    run(work)
+
+
+def test_attempts_at_targets_that_do_not_read_share_a_large_body():
+    # Guards against a copy of the body for each attempt at a request, which
+    # a gather over many shards multiplies.
+    async def work():
+        async with run_targets() as (harness, replica):
+            del replica
+            silent = socket.socket()
+            silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            silent.bind(("127.0.0.1", 0))
+            silent.listen(16)  # Connections are never accepted nor read.
+            address = silent.getsockname()
+            harness.target = creators.create_target("t2", address=address)
+            before = read_memory_bytes()
+            body = b"b" * (8 * 1024 * 1024)
+            for _ in range(16):
+                send(harness, method=b"POST", body=body, limit=16, wait_s=60.0)
+            await asyncio.sleep(0.5)
+            growth = read_memory_bytes() - before - len(body)
+            assert growth < MAX_SHARED_BODY_GROWTH_BYTES
+            silent.close()
+
+    run(work)
