Don't send what nobody waits for any more

Change: a step leaves out the requests whose caller has left and the attempts that are aborted in it.

Evidence: test_a_request_whose_caller_left_in_the_same_step_is_not_sent and test_an_attempt_that_is_aborted_in_the_same_step_is_not_sent failed before.

--- a/src/bramleyfork/entry/controllers/exchanges.py
+++ b/src/bramleyfork/entry/controllers/exchanges.py
@@ -151,7 +151,8 @@
         self._dispatcher.now = now
         self._switch.observe(self.get_table("route_table").get("current"), now)
         self._apply_phase()
-        for key in self.read_new_records("departures"):
+        departed = set(self.read_new_records("departures"))
+        for key in departed:
             self._contain(self._handle_disconnect, key)
         for reply in self.read_new_records("replies") + self.read_new_records(
             "via_failures"
@@ -160,6 +161,9 @@
         for merged in self.read_new_records("via_replies"):
             self._contain(self._handle_merged, merged)
         for request in self.read_new_records("requests"):
+            if request.key in departed:
+                self.context.metrics.count("requests_finished", "caller_left")
+                continue
             if not self._contain(self._handle_request, request):
                 self._fail_request(request)
         timers = self._dispatcher.timers
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -98,14 +98,17 @@
           Monotonic time at which idle connections are next checked; None if
           there are no connections.
         """
-        for attempt in self.read_new_records("aborts") + self.read_new_records(
-            "carried_aborts"
-        ):
+        aborted = set(
+            self.read_new_records("aborts")
+            + self.read_new_records("carried_aborts")
+        )
+        for attempt in aborted:
             self._abort(attempt)
         for send in self.read_new_records("sends") + self.read_new_records(
             "carried_sends"
         ):
-            self._start_attempt(send, now)
+            if send.attempt not in aborted:
+                self._start_attempt(send, now)
         if now >= self._expiry_checked_at + _EXPIRY_CHECK_INTERVAL_S:
             self._expiry_checked_at = now
             self._close_expired(now)
--- a/tests/entry/controllers/test_entry_exchanges.py
+++ b/tests/entry/controllers/test_entry_exchanges.py
@@ -394,6 +394,15 @@
     assert harness.read_new_records("sends") == []
 
 
+def test_a_request_whose_caller_left_in_the_same_step_is_not_sent():
+    # Guards against work at a target that nobody waits for.
+    harness = start_gather()
+    harness.append("departures", 1)
+    assert send_request(harness) == []
+    assert harness.read_new_records("responses") == []
+    assert send_request(harness, key=2)
+
+
 def test_a_late_reply_after_a_disconnect_is_ignored():
     harness = start_single()
     (send,) = send_request(harness)
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -908,6 +908,20 @@
     run(work)
 
 
+def test_an_attempt_that_is_aborted_in_the_same_step_is_not_sent():
+    # Guards against work at a target that nobody waits for.
+    async def work():
+        async with run_targets() as (harness, replica):
+            await ask(harness)
+            number = send(harness)
+            harness.append("aborts", number)
+            await ask(harness)
+            ids = [r.headers["x-request-id"] for r in replica.started_requests]
+            assert ids == ["r1", "r3"]
+
+    run(work)
+
+
 LARGE_BODY = bytes(range(256)) * 4096  # 1 MiB
 MAX_SHARED_BODY_GROWTH_BYTES = 20 * 1024 * 1024
 
