Take a status outside of 100 to 599 for no reply

What callers saw: 600 and 999 of a target were passed on; a head with status 000 or 099 was taken for an interim reply, so that the request got 503 or 504 at its deadline.

Cause: the parser accepts any three digits, and a status below 200 counted as interim.

Change: a head with such a status is garbled, as other bytes that are no reply: it may have run, and the connection is closed. Health checks and answers of the store use the same client. The daemon took a refusal with such a status for a promise; it is now a bad reply.

--- a/src/bramleyfork/codecs/target_messages.py
+++ b/src/bramleyfork/codecs/target_messages.py
@@ -19,6 +19,8 @@
     "may-have-run": verdicts.Verdict.MAY_HAVE_RUN,
 }
 _STATES = frozenset({"cold", "warm", "leaving"})
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 _ERROR_CODES = frozenset(
     {"wrong_snapshot", "shed", "leaving", "expired", "cancelled", "rejected"}
 )
@@ -89,6 +91,8 @@
       ReplyError: The reply is malformed or belongs to another attempt; whether
         the request ran is unknown.
     """
+    if not _MIN_STATUS <= status <= _MAX_STATUS:
+        raise ReplyError(f"status {status} is not valid")
     if headers.get("attempt-id") != request.attempt_id:
         raise ReplyError(
             f"reply to attempt {headers.get('attempt-id')!r} instead of"
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -17,6 +17,9 @@
 _KEEP_ALIVE_MAX_S = 600  # A longer stated timeout counts as this one.
 # Maximum number of bytes of a response, with its head and its framing.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# Statuses that HTTP defines (RFC 9110, section 15). The parser accepts others.
+_MIN_STATUS = 100
+_MAX_STATUS = 599
 # Bytes of a large body that are passed to the transport at once.
 _BODY_PIECE_BYTES = 16 * 1024
 # Maximum number of bytes without a byte of the body: of the head, of interim
@@ -25,6 +28,10 @@
 _MAX_FRAMING_BYTES = 64 * 1024
 
 
+class InvalidStatusError(ValueError):
+    """A response has a status that HTTP doesn't define."""
+
+
 class HttpResponse:
     """A parsed response.
 
@@ -296,7 +303,12 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Reads the status and whether the length of the body is declared."""
+        """Reads the status and whether the length of the body is declared.
+
+        Raises:
+          InvalidStatusError: The status is not valid; the parser reports this
+            as an error of its own.
+        """
         if self._is_complete:
             return
         self._is_head_read = True
@@ -304,6 +316,8 @@
             size = sum(len(name) + len(value) for name, value in self._headers)
             self._is_oversized = size > _MAX_FRAMING_BYTES
         self._status = self._parser.get_status_code()
+        if not _MIN_STATUS <= self._status <= _MAX_STATUS:
+            raise InvalidStatusError(f"status {self._status} is not valid")
         self._has_declared_length = any(
             name.lower() in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
--- a/tests/entry/transports/test_entry_decoder_fuzz.py
+++ b/tests/entry/transports/test_entry_decoder_fuzz.py
@@ -137,6 +137,8 @@
 RESPONSE_FRAGMENTS = [
     b"HTTP/1.1 200 OK\r\n",
     b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 000 \r\n",
+    b"HTTP/1.1 600 x\r\n",
     b"HTTP/1.1 204 No Content\r\n",
     b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
     b"Content-Length: 3\r\n",
@@ -190,7 +192,7 @@
     response, fault = results[0]
     assert (response is None) == bool(fault)
     if response is not None:
-        assert 200 <= response.status < 1000
+        assert 200 <= response.status < 600
 
 
 @hypothesis.given(data=strategies.binary(max_size=80))
--- a/tests/entry/transports/test_entry_targets_transport.py
+++ b/tests/entry/transports/test_entry_targets_transport.py
@@ -908,6 +908,50 @@
     run(work)
 
 
+@pytest.mark.parametrize("is_framed", [True, False])
+@pytest.mark.parametrize(
+    "status",
+    ["000 ", "099 x", "600 x", "999 x", "0", "00", "20", "1000", "65736"],
+)
+def test_a_reply_without_a_valid_status_is_garbled(status, is_framed):
+    # Guards against a status that is passed on to callers, or that is taken
+    # for an interim reply until the deadline.
+    length = "Content-Length: 16\r\n" if is_framed else ""
+
+    def answer(request, reply):
+        del reply
+        head = (
+            f"HTTP/1.1 {status}\r\nX-Request-Id: "
+            f"{request.headers['x-request-id']}\r\nX-Server-Stamp: t1\r\n"
+        )
+        raw = f"{head}{length}\r\n".encode() + RECORDS
+        return http_stand_in.Reply(
+            status=200, raw=raw, truncate_after_bytes=len(raw)
+        )
+
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.reply_fault = answer
+            reply = await ask(harness, wait_s=5.0)
+            assert (reply.fault, reply.verdict) == ("garbled", MAY_HAVE_RUN)
+
+    run(work)
+
+
+def test_an_interim_reply_is_followed_by_the_final_one():
+    def answer(request, reply):
+        del request
+        interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+        return http_stand_in.Reply(status=200, raw=interim + reply.encode())
+
+    async def work():
+        async with run_targets() as (harness, replica):
+            replica.reply_fault = answer
+            assert (await ask(harness)).body == RECORDS
+
+    run(work)
+
+
 def test_an_attempt_that_is_aborted_in_the_same_step_is_not_sent():
     # Guards against work at a target that nobody waits for.
     async def work():
--- a/tests/transports/test_transports_targets.py
+++ b/tests/transports/test_transports_targets.py
@@ -116,6 +116,15 @@
     return build_reply("another")
 
 
+def build_refusal(attempt_id, status):
+    body = json.dumps({"error": "shed"})
+    return (
+        f"HTTP/1.1 {status}\r\nAttempt-Id: {attempt_id}\r\nTarget-Epoch: e1\r\n"
+        "Target-State: warm\r\nRun: not-run\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
 def close_reply(attempt_id):
     return build_reply(attempt_id, extra="Connection: close\r\n")
 
@@ -239,6 +248,16 @@
     assert len(server.opened) == connections
 
 
+@pytest.mark.parametrize("status", ["000 x", "099 x", "600 x", "999 x", "20"])
+def test_a_reply_without_a_valid_status_proves_nothing(server, harness, status):
+    # Guards against bytes that are no reply and pass for a promise.
+    server.reply = lambda attempt_id: build_refusal(attempt_id, status)
+    result = harness.ask(1)
+    assert (result.code, result.verdict) == ("bad_reply", MAY_HAVE_RUN)
+    server.reply = lambda attempt_id: build_refusal(attempt_id, "503 x")
+    assert harness.ask(2).code == "shed"
+
+
 @pytest.mark.parametrize("reply", [cut_reply, half_head, no_reply])
 def test_the_end_of_a_target_is_told_from_a_lost_reply(server, harness, reply):
     # Guards against a request that crashes targets and is not blamed for it, as
