Don't let a reload end a process that starts

Change: programs ignore SIGHUP before their other imports; the daemon logs it, as the entry host does. What remains is the interpreter's own start.

--- a/src/bramleyfork/daemon.py
+++ b/src/bramleyfork/daemon.py
@@ -1,26 +1,33 @@
 """The daemon ``bramleyforkd``: runs a host's controllers and transports."""
 
+import logging
 import signal
 import sys
 import threading
 
-from absl import app
-from absl import flags
-
-from bramleyfork import controllers as controller_package
-from bramleyfork import transports as transport_package
-from bramleyfork.configuration import settings as settings_module
-from bramleyfork.core import blackboard
-from bramleyfork.core import clocks
-from bramleyfork.core import controllers
-from bramleyfork.core import fleet
-from bramleyfork.core import instruments
-from bramleyfork.core import logs
-from bramleyfork.core import loops
-from bramleyfork.core import module_loading
-from bramleyfork.core import sections
-from bramleyfork.core import transports
-from bramleyfork.listeners import budgets
+from bramleyfork.core import reload_signals
+
+reload_signals.ignore_reload()
+
+from absl import app  # noqa: E402
+from absl import flags  # noqa: E402
+
+from bramleyfork import controllers as controller_package  # noqa: E402
+from bramleyfork import transports as transport_package  # noqa: E402
+from bramleyfork.configuration import settings as settings_module  # noqa: E402
+from bramleyfork.core import blackboard  # noqa: E402
+from bramleyfork.core import clocks  # noqa: E402
+from bramleyfork.core import controllers  # noqa: E402
+from bramleyfork.core import fleet  # noqa: E402
+from bramleyfork.core import instruments  # noqa: E402
+from bramleyfork.core import logs  # noqa: E402
+from bramleyfork.core import loops  # noqa: E402
+from bramleyfork.core import module_loading  # noqa: E402
+from bramleyfork.core import sections  # noqa: E402
+from bramleyfork.core import transports  # noqa: E402
+from bramleyfork.listeners import budgets  # noqa: E402
+
+_LOG = logging.getLogger(__name__)
 
 _SETTINGS = flags.DEFINE_string(
     "settings", None, "TOML file with the settings of this host."
@@ -112,6 +119,10 @@
             )
         )
 
+    def handle_reload(self) -> None:
+        """Logs a request to reload the settings, which has no effect."""
+        _LOG.info("settings reload ignored; settings are read only at startup")
+
     def wait_until_stopped(self) -> None:
         """Blocks until the lifecycle has reached the phase "stopped"."""
         self._stopped.wait()
@@ -153,6 +164,7 @@
     )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: daemon.request_stop())
+    signal.signal(signal.SIGHUP, lambda *_: daemon.handle_reload())
     daemon.start()
     daemon.wait_until_stopped()
     daemon.stop()
--- a/src/bramleyfork/standalone/host.py
+++ b/src/bramleyfork/standalone/host.py
@@ -2,14 +2,18 @@
 
 import sys
 
-from absl import app
-from absl import flags
-
-from bramleyfork.entry import http_headers
-from bramleyfork.entry import process
-from bramleyfork.standalone import directory_server  # noqa: F401
-from bramleyfork.standalone import file_feed_source  # noqa: F401
-from bramleyfork.standalone import settings
+from bramleyfork.core import reload_signals
+
+reload_signals.ignore_reload()
+
+from absl import app  # noqa: E402
+from absl import flags  # noqa: E402
+
+from bramleyfork.entry import http_headers  # noqa: E402
+from bramleyfork.entry import process  # noqa: E402
+from bramleyfork.standalone import directory_server  # noqa: E402, F401
+from bramleyfork.standalone import file_feed_source  # noqa: E402, F401
+from bramleyfork.standalone import settings  # noqa: E402
 
 _SETTINGS = flags.DEFINE_string(
     "entry_settings", None, "TOML file with the settings of this host."
--- a/tests/crowds/programs.py
+++ b/tests/crowds/programs.py
@@ -34,13 +34,14 @@
     Attributes:
       addresses: IP address and port of each listener by name.
       ordinary: Listener and request that any client may send.
+      process: The process.
     """
 
     def __init__(self, *, arguments, log, addresses, ordinary, descriptors):
         self.addresses = addresses
         self.ordinary = ordinary
         with open(log, "ab") as output:
-            self._process = subprocess.Popen(
+            self.process = subprocess.Popen(
                 [sys.executable, *arguments],
                 stdout=output,
                 stderr=output,
@@ -48,18 +49,18 @@
             )
         if descriptors is not None:
             resource.prlimit(
-                self._process.pid,
+                self.process.pid,
                 resource.RLIMIT_NOFILE,
                 (descriptors, descriptors),
             )
 
     def is_alive(self):
         """Returns whether the process has not ended."""
-        return self._process.poll() is None
+        return self.process.poll() is None
 
     def read_peak_memory(self):
         """Returns the largest resident memory so far, in bytes."""
-        with open(f"/proc/{self._process.pid}/status") as status:
+        with open(f"/proc/{self.process.pid}/status") as status:
             for line in status:
                 if line.startswith("VmHWM:"):
                     return int(line.split()[1]) * 1024
@@ -67,7 +68,7 @@
 
     def count_descriptors(self):
         """Returns the number of open descriptors."""
-        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
     async def ask(self):
         """Returns the status of the answer to one ordinary request."""
@@ -89,12 +90,12 @@
 
     async def stop(self):
         """Ends the process."""
-        self._process.kill()
-        await asyncio.to_thread(self._process.wait)
+        self.process.kill()
+        await asyncio.to_thread(self.process.wait)
 
 
 @contextlib.asynccontextmanager
-async def run_entry(folder, *, descriptors=None):
+async def run_entry(folder, *, descriptors=None, is_awaited=True):
     """Yields an entry host with one target."""
     found = ports.find_ports(6)
     target = replicas.Replica(
@@ -136,7 +137,8 @@
         descriptors=descriptors,
     )
     try:
-        await program.wait_until_ready()
+        if is_awaited:
+            await program.wait_until_ready()
         yield program
     finally:
         await program.stop()
@@ -144,7 +146,7 @@
 
 
 @contextlib.asynccontextmanager
-async def run_daemon(folder, *, descriptors=None):
+async def run_daemon(folder, *, descriptors=None, is_awaited=True):
     """Yields a daemon, which answers health checks without a configuration."""
     found = ports.find_ports(4)
     names = ("caller", "administration", "peer")
@@ -170,7 +172,8 @@
         descriptors=descriptors,
     )
     try:
-        await program.wait_until_ready()
+        if is_awaited:
+            await program.wait_until_ready()
         yield program
     finally:
         await program.stop()
--- a/tests/standalone/test_standalone_host.py
+++ b/tests/standalone/test_standalone_host.py
@@ -8,7 +8,10 @@
 import sys
 import urllib.request
 
+import pytest
+
 from standins.entry import replicas as standins
+from tests.crowds import programs
 from tests.entry import ports
 from tests.standalone import files
 from tests.standalone import fleets
@@ -114,3 +117,30 @@
     )
     assert ended.returncode == 2
     assert "cores has the value -1" in ended.stderr
+
+
+def has_loaded(process, library):
+    with open(f"/proc/{process.pid}/maps", encoding="utf-8") as maps:
+        return library in maps.read()
+
+
+@pytest.mark.parametrize(
+    ("name", "library"), [("entry", "httptools"), ("daemon", "msgpack")]
+)
+def test_a_reload_while_a_program_starts_does_not_end_it(
+    tmp_path, name, library
+):
+    # Guards against SIGHUP that ends a process which is still being imported.
+    async def work():
+        async with programs.RUNNERS[name](
+            tmp_path, is_awaited=False
+        ) as started:
+            process = started.process
+            while not has_loaded(process, library):
+                await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGHUP)
+            await started.wait_until_ready()
+            process.send_signal(signal.SIGHUP)
+            assert await started.ask() == 200
+
+    asyncio.run(work())
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -25,6 +25,7 @@
             "tests/transports",
             "tests/listeners",
             "tests/crowds",
+            "tests/standalone",
         ],
         cwd=ROOT,
         capture_output=True,
