Order the feed by era and revision

Revisions go back and are given out again, and Store-Era rises by one.

Cause: the feed was ordered by revision alone, so what was written again was ignored until the counter had passed the old one; a listing of the copy was rejected and read again at once, so that 410 and rejection alternated at each reader; hosts relayed revisions of two eras as one order.

A watch that shows a new era, or 410, leads to one listing; further ones without a watch between them have growing pauses. A lower version of the route table never replaces a higher one, and is passed on as the higher one; a host that starts after a restore compares with another host. What the first listing of an era contradicts is deferred: evacuations that are missing 60 s, targets that left or are leaving 5 s, or until they are written again.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -62,6 +62,23 @@
         host.record_fault_time()
 
 
+@FAULTS.register("store_restore")
+async def restore_store(environment: environments.SoakEnvironment) -> None:
+    """Lets the store come back from an older copy.
+
+    What was written since the copy is written again within a second.
+    """
+    store = environment.store
+    copy = store.copy()
+    await asyncio.sleep(environment.random.uniform(0.5, 2.0))
+    before = store.copy()
+    store.restore(copy)
+    environment.store_fault_times.append(time.monotonic())
+    await asyncio.sleep(environment.random.uniform(0.1, 1.0))
+    store.write_again(before, copy)
+    environment.store_fault_times.append(time.monotonic())
+
+
 @FAULTS.register("reload")
 async def reload_host(environment: environments.SoakEnvironment) -> None:
     """Sends a host SIGHUP to reload its settings."""
--- a/src/bramleyfork/entry/controllers/_feed_sources.py
+++ b/src/bramleyfork/entry/controllers/_feed_sources.py
@@ -83,6 +83,17 @@
         """Returns the best source: sources.STORE or the name of a host."""
         return sources.choose_source(self._rank(), self._avoided, now)
 
+    def find_host(self, now: float) -> str | None:
+        """Returns another host that serves and isn't avoided; None for none."""
+        for member in self._members.list_records():
+            host = member.update.host
+            is_own = host == self._settings.host
+            is_serving = member.update.state == fleet.SERVING
+            is_avoided = self._avoided.get(host, 0.0) > now
+            if is_serving and not is_own and not is_avoided:
+                return host
+        return None
+
     def _rank(self) -> collections.abc.Iterator[str]:
         return sources.rank_sources(
             own_host=self._settings.host,
--- a/src/bramleyfork/entry/controllers/_refusals.py
+++ b/src/bramleyfork/entry/controllers/_refusals.py
@@ -171,4 +171,8 @@
     if feed is None:
         return {}
     age_ms = round((now - feed.synced_at) * 1000) if feed.synced_at else None
-    return {"feed_revision": feed.revision, "feed_age_ms": age_ms}
+    return {
+        "feed_era": feed.era,
+        "feed_revision": feed.revision,
+        "feed_age_ms": age_ms,
+    }
--- a/src/bramleyfork/entry/controllers/feed.py
+++ b/src/bramleyfork/entry/controllers/feed.py
@@ -9,7 +9,9 @@
 
 from bramleyfork.entry import components
 from bramleyfork.entry import feeds
+from bramleyfork.entry.controllers import _feed_comparison
 from bramleyfork.entry.controllers import _feed_content
+from bramleyfork.entry.controllers import _feed_listing
 from bramleyfork.entry.controllers import _feed_sources
 from bramleyfork.entry.decisions import sources
 
@@ -68,10 +70,12 @@
         "_number",
         "_pending_read",
         "_revision",
-        "_after_key",
-        "_page_revision",
-        "_pages",
+        "_era",
+        "_listing",
         "_is_listing",
+        "_listings_in_row",
+        "_comparison",
+        "_is_listed",
         "_read_at",
         "_backoff_s",
         "_is_lost",
@@ -94,10 +98,13 @@
         self._number = 0
         self._pending_read: int | None = None
         self._revision = 0
-        self._after_key = ""
-        self._page_revision = 0
-        self._pages: list[feeds.Change] = []
+        self._era = 0
+        self._listing = _feed_listing.Listing()
         self._is_listing = True
+        # Listings since the last successful watch.
+        self._listings_in_row = 0
+        self._comparison = _feed_comparison.Comparison()
+        self._is_listed = False
         self._read_at = 0.0
         self._backoff_s = _BACKOFF_MIN_S
         self._is_lost = False
@@ -143,10 +150,8 @@
         return min(times, default=None)
 
     def _read(self) -> None:
-        if not self._after_key:
-            source = self._sources.choose_at_start(
-                self._now, is_listed=self._synced_at > 0.0
-            )
+        if not self._listing.after_key:
+            source = self._choose_source()
             if source is None:
                 self._read_at = self._now + _JOIN_CHECK_INTERVAL_S
                 return
@@ -154,11 +159,11 @@
         self._number += 1
         self._pending_read = self._number
         address = self._sources.find_address(self._source)
-        if self._is_listing:
+        if self._is_listing or self._comparison.is_active:
             read = feeds.FeedRead(
                 number=self._number,
                 kind=feeds.LIST,
-                after_key=self._after_key,
+                after_key=self._listing.after_key,
                 limit_s=_LIST_TIMEOUT_S,
                 source=address,
                 is_fresh=self._needs_fresh_listing,
@@ -169,6 +174,7 @@
                 number=self._number,
                 kind=feeds.WATCH,
                 after_revision=self._revision,
+                after_era=self._era,
                 wait_s=wait_s,
                 limit_s=limit_s,
                 source=address,
@@ -176,6 +182,19 @@
         self.context.metrics.count("feed_reads", read.kind)
         self.get_writer("feed_reads").append(read)
 
+    def _choose_source(self) -> str | None:
+        """Returns the source of the next read; None to wait for one."""
+        host = None
+        if not self._is_listing:
+            host = self._comparison.choose_host(
+                self._sources.find_host(self._now), self._now
+            )
+        if host is not None:
+            return host
+        return self._sources.choose_at_start(
+            self._now, is_listed=self._synced_at > 0.0
+        )
+
     def _compute_watch_times(
         self, address: tuple[str, int] | None
     ) -> tuple[float, float]:
@@ -209,15 +228,22 @@
                 "feed history is gone; listing the feed again",
                 extra={"detail": result.detail},
             )
-            self._content.start_removal_grace()
             # A stale listing may be older than the history that the source
             # keeps, and a watch can't continue from it.
-            self._needs_fresh_listing = True
-            self._start_listing()
+            self._list_again()
+            return
+        if self._comparison.is_active:
+            self._compare(result)
             return
+        if result.status == feeds.OK and result.era < self._era:
+            # A late answer, or a host that hasn't heard of the new era.
+            result = result.replace(status=feeds.REFUSED, detail="older era")
         if result.status != feeds.OK:
             self._handle_failure(result)
             return
+        if not self._is_listing and result.era > self._era:
+            self._begin_era(result.era)
+            return
         self._handle_success(result)
         if result.lapse_s:
             self._content.removal_grace_until = max(
@@ -228,65 +254,91 @@
             return
         self._is_current = True
         self._needs_fresh_listing = False
+        self._listings_in_row = 0
         for change in result.changes:
             self._content.apply(change)
         if result.changes:
             self._read_at = self._now + self._compute_batch_delay()
         self._advance(result.revision)
 
+    def _begin_era(self, era: int) -> None:
+        """Lists the feed anew, as revisions of two eras are in no order."""
+        _LOG.warning(
+            "store came back from an older copy; listing the feed again",
+            extra={
+                "era": era,
+                "known_era": self._era,
+                "known_revision": self._revision,
+                "source": self._source or "store",
+            },
+        )
+        self.context.metrics.count("feed_eras_begun")
+        self._list_again()
+
+    def _list_again(self) -> None:
+        """Lists the feed anew; the targets that are missing then may be back.
+
+        Listings that follow each other without a successful watch between them
+        have growing pauses.
+        """
+        self._content.start_removal_grace()
+        self._needs_fresh_listing = True
+        self._start_listing()
+
     def _start_listing(self) -> None:
         self._is_listing = True
-        self._after_key = ""
-        self._pages = []
+        self._listing = _feed_listing.Listing()
+        self._listings_in_row += 1
+        if self._listings_in_row > 1:
+            pause_s = min(
+                _BACKOFF_MAX_S,
+                _BACKOFF_MIN_S * 2 ** (self._listings_in_row - 2),
+            )
+            self._read_at = self._now + pause_s * (0.5 + self._random.random())
 
     def _handle_page(self, result: feeds.FeedResult) -> None:
-        # Pages are read at different revisions, and a stale one may be older
-        # than those before it. The watch starts at the oldest revision, so that
-        # it returns all changes made between the pages.
-        if not self._after_key:
-            self._page_revision = result.revision
-        self._page_revision = min(self._page_revision, result.revision)
-        self._pages.extend(result.changes)
-        if result.next_key is not None:
-            self._after_key = result.next_key
+        listing = self._listing
+        if not listing.add(result):
             return
-        if self._page_revision < self._revision:
-            self._reject_old_listing()
+        if listing.is_mixed or listing.position < (self._era, self._revision):
+            self._reject_listing()
             return
-        listed = {change.key for change in self._pages}
-        for change in self._pages:
-            self._content.apply(change)
-        self._content.remove_unlisted(listed, self._page_revision)
+        era, revision = listing.position
+        is_first = not self._is_listed
+        self._content.apply_listing(listing.changes, listing.position)
         self._is_listing = False
-        self._after_key = ""
+        self._listing = _feed_listing.Listing()
         self._is_current = False
         self._unsettled_at = self._now
+        self._era, self._revision = listing.position
         _LOG.info(
             "feed listed",
             extra={
-                "entries": len(self._pages),
-                "revision": self._page_revision,
+                "entries": len(listing.changes),
+                "era": era,
+                "revision": revision,
                 "source": self._source or "store",
             },
         )
-        self._pages = []
-        # A listing doesn't contain the removals made before it.
-        self._content.compact_revision = max(
-            self._content.compact_revision, self._page_revision
-        )
-        self._revision = max(self._revision, self._page_revision)
+        if is_first and era and self._source == sources.STORE:
+            self._comparison.start(self._now)
+        self._is_listed = True
 
-    def _reject_old_listing(self) -> None:
+    def _reject_listing(self) -> None:
         """Discards a listing that is older than what is already known.
 
         The removals made since then are not repeated by the following watch,
-        so entries that have been removed would stay.
+        so entries that have been removed would stay. One whose pages are of
+        different eras is discarded, too.
         """
         _LOG.warning(
             "feed listing discarded: it is older than the known feed",
             extra={
                 "source": self._source or "store",
-                "revision": self._page_revision,
+                "era": self._listing.position[0],
+                "revision": self._listing.position[1],
+                "is_mixed": self._listing.is_mixed,
+                "known_era": self._era,
                 "known_revision": self._revision,
             },
         )
@@ -295,6 +347,19 @@
             self._sources.avoid(self._source, self._now)
         self._start_listing()
 
+    def _compare(self, result: feeds.FeedResult) -> None:
+        """Takes over the route table of another host if it is newer."""
+        self._read_at = self._now
+        if result.status != feeds.OK:
+            self._comparison.stop()
+            self._listing = _feed_listing.Listing()
+            return
+        if not self._listing.add(result):
+            return
+        self._content.apply_routes_of_host(self._listing.changes)
+        self._comparison.stop()
+        self._listing = _feed_listing.Listing()
+
     def _advance(self, revision: int) -> None:
         self._revision = max(self._revision, revision)
         self._put_state()
@@ -310,6 +375,7 @@
                 removal_grace_until=self._content.removal_grace_until,
                 hops=self._hops,
                 hop_limit=self._sources.compute_hop_limit(),
+                era=self._era,
             ),
         )
 
--- a/src/bramleyfork/entry/feeds.py
+++ b/src/bramleyfork/entry/feeds.py
@@ -14,6 +14,10 @@
 REFUSED = "refused"  # The source refused the read.
 LOST = "lost"  # No complete reply was received.
 
+# Era and revision. The store begins a new era when it comes back from an older
+# copy: revisions go back then, and the era rises. Tuples compare in this order.
+Position = tuple[int, int]
+
 # Hops of a host whose last read failed; more than any hop limit.
 UNREACHABLE_HOPS = 99
 
@@ -26,6 +30,7 @@
       kind: LIST or WATCH.
       after_key: LIST: key after which the page begins; empty for the first.
       after_revision: WATCH: revision after which changes are returned.
+      after_era: WATCH: era of that revision.
       wait_s: WATCH: maximum time in seconds to wait for a change.
       limit_s: Timeout in seconds, after which the read counts as lost.
       source: Address of the host to read from; None for the store.
@@ -37,6 +42,7 @@
         "kind",
         "after_key",
         "after_revision",
+        "after_era",
         "wait_s",
         "limit_s",
         "source",
@@ -51,6 +57,7 @@
         limit_s: float,
         after_key: str = "",
         after_revision: int = 0,
+        after_era: int = 0,
         wait_s: float = 0.0,
         source: tuple[str, int] | None = None,
         is_fresh: bool = False,
@@ -59,11 +66,17 @@
         self.kind = kind
         self.after_key = after_key
         self.after_revision = after_revision
+        self.after_era = after_era
         self.wait_s = wait_s
         self.limit_s = limit_s
         self.source = source
         self.is_fresh = is_fresh
 
+    @property
+    def after(self) -> Position:
+        """Position after which a watch returns changes."""
+        return self.after_era, self.after_revision
+
 
 class Change(records.Record):
     """The current state of one entry of the feed.
@@ -76,9 +89,18 @@
       content: RouteTable or ListedTarget; None if the entry was removed or
         can't be read.
       is_removed: Whether the entry was removed.
+      era: Era of the store in which the entry was read.
     """
 
-    __slots__ = ("key", "revision", "subject", "name", "content", "is_removed")
+    __slots__ = (
+        "key",
+        "revision",
+        "subject",
+        "name",
+        "content",
+        "is_removed",
+        "era",
+    )
 
     def __init__(
         self,
@@ -91,6 +113,7 @@
         | declarations.ListedTarget
         | None = None,
         is_removed: bool = False,
+        era: int = 0,
     ):
         self.key = key
         self.revision = revision
@@ -98,6 +121,12 @@
         self.name = name
         self.content = content
         self.is_removed = is_removed
+        self.era = era
+
+    @property
+    def position(self) -> Position:
+        """Its place in the order of the changes of an entry."""
+        return self.era, self.revision
 
 
 class FeedResult(records.Record):
@@ -114,6 +143,7 @@
         may have expired because the store was unavailable (removal grace).
       age_s: Seconds since the source was last in sync with the store.
       hops: Number of hosts between the source and the store.
+      era: Era of the store at the read.
     """
 
     __slots__ = (
@@ -126,6 +156,7 @@
         "lapse_s",
         "age_s",
         "hops",
+        "era",
     )
 
     def __init__(
@@ -140,6 +171,7 @@
         lapse_s: float = 0.0,
         age_s: float = 0.0,
         hops: int = 0,
+        era: int = 0,
     ):
         self.number = number
         self.status = status
@@ -150,6 +182,7 @@
         self.lapse_s = lapse_s
         self.age_s = age_s
         self.hops = hops
+        self.era = era
 
 
 class FeedState(records.Record):
@@ -168,6 +201,7 @@
         ``UNREACHABLE_HOPS`` if the last read failed.
       hop_limit: Maximum number of hops with which a host serves the feed to
         others.
+      era: Era of the store to which the revisions belong.
     """
 
     __slots__ = (
@@ -178,6 +212,7 @@
         "removal_grace_until",
         "hops",
         "hop_limit",
+        "era",
     )
 
     def __init__(
@@ -190,6 +225,7 @@
         removal_grace_until: float = 0.0,
         hops: int = 0,
         hop_limit: int = 0,
+        era: int = 0,
     ):
         self.revision = revision
         self.compact_revision = compact_revision
@@ -198,6 +234,17 @@
         self.removal_grace_until = removal_grace_until
         self.hops = hops
         self.hop_limit = hop_limit
+        self.era = era
+
+    @property
+    def position(self) -> Position:
+        """Position up to which changes are known."""
+        return self.era, self.revision
+
+    @property
+    def compact_position(self) -> Position:
+        """Position after which removals are still known."""
+        return self.era, self.compact_revision
 
     @property
     def exceeds_hop_limit(self) -> bool:
--- a/src/bramleyfork/entry/transports/feed_peers.py
+++ b/src/bramleyfork/entry/transports/feed_peers.py
@@ -218,15 +218,14 @@
             )
         if read.kind == feeds.LIST:
             return self._build_result(read, state, now, after=None)
-        if read.after_revision < state.compact_revision:
-            return feeds.FeedResult(number=read.number, status=feeds.GONE)
-        if (
-            state.revision > read.after_revision
-            or now >= pending_watch.wait_until
-        ):
-            return self._build_result(
-                read, state, now, after=read.after_revision
+        if read.after_era > state.era:
+            return feeds.FeedResult(
+                number=read.number, status=feeds.REFUSED, detail="older era"
             )
+        if read.after < state.compact_position:
+            return feeds.FeedResult(number=read.number, status=feeds.GONE)
+        if state.position > read.after or now >= pending_watch.wait_until:
+            return self._build_result(read, state, now, after=read.after)
         return None
 
     def _build_result(
@@ -235,10 +234,10 @@
         state: feeds.FeedState,
         now: float,
         *,
-        after: int | None,
+        after: feeds.Position | None,
     ) -> feeds.FeedResult:
         changes = ()
-        if after is None or state.revision > after:
+        if after is None or state.position > after:
             changes = self._list_changes(after, now)
         return feeds.FeedResult(
             number=read.number,
@@ -248,18 +247,19 @@
             lapse_s=max(0.0, state.removal_grace_until - now),
             age_s=now - state.synced_at,
             hops=state.hops,
+            era=state.era,
         )
 
     def _list_changes(
-        self, after: int | None, now: float
+        self, after: feeds.Position | None, now: float
     ) -> tuple[feeds.Change, ...]:
-        """Returns the changes after a revision.
+        """Returns the changes after a position.
 
         The last list is cached, so that hosts that wait for the same change
         share its records and their encoding.
 
         Args:
-          after: The revision; None for all current entries, without removals.
+          after: The position; None for all current entries, without removals.
           now: Monotonic time in seconds.
         """
         entries = self.get_table("feed_entries")
@@ -268,8 +268,7 @@
             changes = tuple(
                 _shift_change(change, -now)
                 for change in entries.list_records()
-                if change.revision > (after or 0)
-                and not (after is None and change.is_removed)
+                if _is_listed(change, after)
             )
             self._cached_changes = key, changes
         return self._cached_changes[1]
@@ -289,6 +288,12 @@
     )
 
 
+def _is_listed(change: feeds.Change, after: feeds.Position | None) -> bool:
+    if after is None:
+        return not change.is_removed
+    return change.position > after
+
+
 class _PendingWatch:
     """A read by another host that has not been answered.
 
--- a/src/bramleyfork/entry/transports/metrics.py
+++ b/src/bramleyfork/entry/transports/metrics.py
@@ -80,6 +80,7 @@
         synced_at = feed.synced_at if feed else 0.0
         return {
             "configuration_version": table.version if table else 0,
+            "feed_era": feed.era if feed else 0,
             "feed_revision": feed.revision if feed else 0,
             "feed_is_lost": int(feed is None or feed.is_lost),
             "feed_age_seconds": asyncio.get_running_loop().time() - synced_at
--- a/src/standins/entry/store.py
+++ b/src/standins/entry/store.py
@@ -19,10 +19,13 @@
         "many" (status 429), "reset" (the connection is aborted) or "silent" (no
         reply).
       calls: Paths and query strings of the calls so far.
+      era: Number of times that it came back from a copy; None if it doesn't
+        state its era.
     """
 
     def __init__(self):
         self.revision = 0
+        self.era: int | None = None
         self.outage = ""
         self.calls: list[str] = []
         self._compact_revision = 0
@@ -71,6 +74,22 @@
         self._compact_revision = self.revision
         self._events.clear()
 
+    def copy(self) -> "Copy":
+        """Returns a copy of the current content, to come back from."""
+        return Copy(revision=self.revision, items=dict(self._items))
+
+    def restore(self, copy: "Copy") -> None:
+        """Comes back from an older copy: a new era begins.
+
+        Revisions go back, and the history is gone.
+        """
+        self.revision = self._compact_revision = copy.revision
+        self._items = dict(copy.items)
+        self._events.clear()
+        self.era = (self.era or 0) + 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _record_event(self, event: dict) -> None:
         self._events.append(event)
         self._changed.set()
@@ -85,17 +104,43 @@
         if self.outage == "reset":
             return None
         if self.outage:
-            return http_stand_in.Reply(
-                status=429 if self.outage == "many" else 503
+            return self._add_era(
+                http_stand_in.Reply(
+                    status=429 if self.outage == "many" else 503
+                )
             )
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/kv-range":
-            return self._list(fields)
+            return self._add_era(self._list(fields))
         if path == "/kv-watch":
-            return await self._watch(fields)
+            return self._add_era(await self._watch(fields))
         return http_stand_in.Reply(status=404)
 
+    def write_again(self, before: "Copy", copy: "Copy") -> None:
+        """Writes again what the store lost when it came back from a copy.
+
+        Args:
+          before: Its content before that.
+          copy: The copy.
+        """
+        for key in {*before.items, *copy.items}:
+            current = self._items.get(key)
+            if current is not copy.items.get(key):
+                continue  # Written since.
+            lost = before.items.get(key)
+            if lost is current:
+                continue
+            if lost is None:
+                self.remove(key)
+                continue
+            self.put(key, base64.b64decode(lost["value"]))
+
+    def _add_era(self, reply: http_stand_in.Reply) -> http_stand_in.Reply:
+        if self.era is not None:
+            reply.headers = (*reply.headers, ("Store-Era", str(self.era)))
+        return reply
+
     def _list(self, fields: dict[str, str]) -> http_stand_in.Reply:
         keys = sorted(
             key
@@ -113,12 +158,15 @@
 
     async def _watch(self, fields: dict[str, str]) -> http_stand_in.Reply:
         after = int(fields["after"])
-        if after < self._compact_revision:
-            return http_stand_in.Reply(status=410)
+        if after < self._compact_revision or after > self.revision:
+            return self._add_era(http_stand_in.Reply(status=410))
+        era = self.era
         deadline = (
             asyncio.get_running_loop().time() + int(fields["wait_ms"]) / 1000
         )
         while True:
+            if self.era != era:
+                return http_stand_in.Reply(status=410)
             events = [
                 event
                 for event in self._events
@@ -136,6 +184,21 @@
                 continue
 
 
+class Copy:
+    """Content of a store at one moment.
+
+    Attributes:
+      revision: Revision of the store at that moment.
+      items: Items by key.
+    """
+
+    __slots__ = ("revision", "items")
+
+    def __init__(self, *, revision: int, items: dict[str, dict]):
+        self.revision = revision
+        self.items = items
+
+
 def _build_reply(body: dict) -> http_stand_in.Reply:
     return http_stand_in.Reply(
         status=200,
--- a/tests/entry/controllers/test_entry_feed.py
+++ b/tests/entry/controllers/test_entry_feed.py
@@ -44,7 +44,9 @@
     )
 
 
-def answer(harness, *changes, status=feeds.OK, revision=0, next_key=None):
+def answer(
+    harness, *changes, status=feeds.OK, revision=0, next_key=None, era=0
+):
     """Answers the pending read and returns it."""
     (read,) = harness.read_new_records("feed_reads")
     harness.append(
@@ -53,8 +55,9 @@
             number=read.number,
             status=status,
             revision=revision,
-            changes=changes,
+            changes=tuple(change.replace(era=era) for change in changes),
             next_key=next_key,
+            era=era,
         ),
     )
     harness.step()
@@ -593,3 +596,200 @@
     answer(harness, status=feeds.REFUSED)
     (read,) = harness.read_new_records("feed_reads")
     assert read.limit_s <= 1.5
+
+
+# A store that comes back from an older copy.
+
+
+def start_in_era(era, *changes, revision):
+    harness = start()
+    answer(harness, *changes, revision=revision, era=era)
+    answer(harness, revision=revision, era=era)
+    return harness
+
+
+def begin_era(harness, *changes, revision, era=1):
+    """Answers the pending watch in a new era, then the listing."""
+    answer(harness, status=feeds.GONE, era=era)
+    wait(harness)
+    listing = answer(harness, *changes, revision=revision, era=era)
+    assert (listing.kind, listing.is_fresh) == (feeds.LIST, True)
+    return answer(harness, revision=revision, era=era)
+
+
+def test_what_is_written_again_in_a_new_era_takes_effect():
+    # Guards against changes that are ignored until the counter has passed the
+    # revision of before.
+    harness = start_in_era(0, change_routes(5, 90), revision=100)
+    begin_era(harness, change_routes(5, 90), revision=95)
+    wait(harness)
+    answer(harness, change_routes(6, 96), revision=96, era=1)
+    assert harness.get("route_table").version == 6
+    state = harness.get("feed_state")
+    assert (state.era, state.revision) == (1, 96)
+
+
+def test_a_watch_in_a_new_era_leads_to_one_listing():
+    # Guards against revisions of two eras that are taken for one order.
+    harness = start_in_era(0, change_target("a", 90), revision=100)
+    answer(harness, change_target("b", 101), revision=101, era=1)
+    assert harness.get("listed_targets", "b") is None
+    wait(harness)
+    listing = answer(
+        harness,
+        change_target("a", 90),
+        change_target("b", 101),
+        revision=101,
+        era=1,
+    )
+    assert listing.kind == feeds.LIST
+    assert harness.get("listed_targets", "b") is not None
+    (watch,) = harness.read_new_records("feed_reads")
+    assert (watch.kind, watch.after) == (feeds.WATCH, (1, 101))
+
+
+def test_an_answer_of_an_older_era_changes_nothing():
+    harness = start_in_era(1, change_routes(5, 90), revision=100)
+    answer(harness, change_routes(9, 200), revision=200, era=0)
+    assert harness.get("route_table").version == 5
+    state = harness.get("feed_state")
+    assert (state.era, state.revision) == (1, 100)
+
+
+def test_an_older_route_table_of_a_copy_is_not_in_force():
+    harness = start_in_era(0, change_routes(7, 98), revision=100)
+    begin_era(harness, change_routes(5, 80), revision=95)
+    assert harness.get("route_table").version == 7
+    # Hosts that read the feed from this one get the newer one.
+    entry = harness.get("feed_entries", "routes:")
+    assert (entry.content.version, entry.era) == (7, 1)
+    wait(harness)
+    answer(harness, change_routes(7, 96), revision=96, era=1)
+    assert harness.get("route_table").version == 7
+    wait(harness)
+    answer(harness, change_routes(8, 97), revision=97, era=1)
+    assert harness.get("route_table").version == 8
+
+
+def test_an_evacuation_that_the_copy_lacks_holds_until_it_is_written_again():
+    harness = start_in_era(0, change_evacuation("north", 98), revision=100)
+    begin_era(harness, revision=95)
+    harness.step(20.0)
+    assert harness.get("evacuations", "north") is not None
+    answer(harness, change_evacuation("north", 97), revision=97, era=1)
+    harness.step(60.0)
+    assert harness.get("evacuations", "north") is not None
+    answer(
+        harness,
+        change_evacuation("north", 99, is_removed=True),
+        revision=99,
+        era=1,
+    )
+    assert harness.get("evacuations", "north") is None
+
+
+def test_an_evacuation_that_is_not_written_again_ends():
+    # Guards against a data centre that stays out for good.
+    harness = start_in_era(0, change_evacuation("north", 98), revision=100)
+    begin_era(harness, revision=95)
+    harness.step(61.0)
+    assert harness.get("evacuations", "north") is None
+
+
+def test_a_leaving_target_is_not_used_again_as_the_copy_says():
+    harness = start_in_era(
+        0, change_target("a", 98, is_draining=True), revision=100
+    )
+    begin_era(harness, change_target("a", 80), revision=95)
+    assert harness.get("listed_targets", "a").is_draining
+    wait(harness)
+    answer(
+        harness,
+        change_target("a", 97, is_draining=True),
+        revision=97,
+        era=1,
+    )
+    harness.step(10.0)
+    assert harness.get("listed_targets", "a").is_draining
+
+
+def test_a_target_that_left_comes_back_only_if_it_lives():
+    # Guards against requests to an address that belongs to another service.
+    harness = start_in_era(0, change_target("a", 80), revision=96)
+    wait(harness)
+    answer(harness, change_target("a", 98, is_removed=True), revision=98)
+    assert harness.get("listed_targets", "a") is None
+    wait(harness)
+    begin_era(harness, change_target("a", 80), revision=95)
+    assert harness.get("listed_targets", "a") is None
+    wait(harness)
+    answer(harness, change_target("a", 97, is_removed=True), revision=97, era=1)
+    harness.step(10.0)
+    assert harness.get("listed_targets", "a") is None
+
+
+def test_a_live_target_that_the_copy_lacks_is_kept_until_it_is_back():
+    harness = start_in_era(0, change_target("a", 98), revision=100)
+    begin_era(harness, revision=95)
+    assert harness.get("listed_targets", "a") is not None
+    wait(harness, 0.5)
+    answer(harness, change_target("a", 96), revision=96, era=1)
+    harness.step(10.0)
+    assert harness.get("listed_targets", "a") is not None
+
+
+def test_listings_without_a_watch_between_them_have_growing_pauses():
+    # Guards against a herd of listings while 410 and old listings alternate.
+    harness = start_in_era(0, revision=100)
+    times = []
+    for _ in range(6):
+        answer(harness, status=feeds.GONE, era=1)
+        while not (reads := harness.read_new_records("feed_reads")):
+            harness.step(0.01)
+        times.append(harness.now)
+        (listing,) = reads
+        harness.append(
+            "feed_results",
+            feeds.FeedResult(
+                number=listing.number, status=feeds.OK, revision=95, era=1
+            ),
+        )
+        harness.step()
+    pauses = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert pauses[-1] >= 0.4
+    assert sum(pauses) > 1.0
+
+
+def test_a_host_that_starts_in_the_drill_takes_the_newer_routes_of_another():
+    harness = start()
+    answer(harness, change_routes(5, 80), revision=95, era=1)
+    answer(harness, revision=95, era=1)
+    put_member(harness, 2)
+    harness.step(0.1)
+    answer(harness, revision=95, era=1)
+    (listing,) = harness.read_new_records("feed_reads")
+    assert (listing.kind, listing.source is not None) == (feeds.LIST, True)
+    harness.append(
+        "peer_feed_results",
+        feeds.FeedResult(
+            number=listing.number,
+            status=feeds.OK,
+            revision=95,
+            changes=(change_routes(7, 80).replace(era=1),),
+            era=1,
+        ),
+    )
+    harness.step()
+    assert harness.get("route_table").version == 7
+    (watch,) = harness.read_new_records("feed_reads")
+    assert (watch.kind, watch.after) == (feeds.WATCH, (1, 95))
+
+
+def test_pages_of_two_eras_are_not_joined():
+    harness = start()
+    answer(harness, change_target("a", 3), revision=7, next_key="x", era=0)
+    answer(harness, change_target("b", 3), revision=5, era=1)
+    assert harness.get("listed_targets", "a") is None
+    wait(harness)
+    answer(harness, change_target("b", 3), revision=5, era=1)
+    assert harness.get("listed_targets", "b") is not None
--- a/tests/entry/transports/test_entry_feed_peers.py
+++ b/tests/entry/transports/test_entry_feed_peers.py
@@ -253,3 +253,52 @@
     )
     with pytest.raises(_record_codec.RecordDecodeError):
         _record_codec.decode(data)
+
+
+def test_a_reader_of_an_older_era_is_told_to_list_again():
+    async def work():
+        async with run_pair() as (source, reader):
+            set_feed(source, 3, era=2)
+            result = await watch(reader, source, 5)
+            assert result.status == feeds.GONE
+            listing = await read(reader, source)
+            assert (listing.status, listing.era) == (feeds.OK, 2)
+
+    run(work)
+
+
+def test_a_source_of_an_older_era_refuses_a_reader():
+    # Guards against revisions of two eras that are taken for one order.
+    async def work():
+        async with run_pair() as (source, reader):
+            set_feed(source, 9, era=1)
+            result = await read(
+                reader,
+                source,
+                kind=feeds.WATCH,
+                after_revision=3,
+                after_era=2,
+                wait_s=0.3,
+            )
+            assert result.status == feeds.REFUSED
+
+    run(work)
+
+
+def test_a_watch_in_an_era_returns_no_removals_of_earlier_ones():
+    async def work():
+        async with run_pair() as (source, reader):
+            old = feed_tests.change_target("a", 9, is_removed=True)
+            new = feed_tests.change_target("b", 4).replace(era=1)
+            set_feed(source, 4, old, new, era=1)
+            result = await read(
+                reader,
+                source,
+                kind=feeds.WATCH,
+                after_revision=3,
+                after_era=1,
+                wait_s=0.3,
+            )
+            assert result.changes == (new,)
+
+    run(work)
--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -438,3 +438,38 @@
             assert headers["x-missing-parts"] == "0"
 
     run(work)
+
+
+def test_a_store_that_comes_back_from_a_copy_takes_nothing_back():
+    # Guards against a configuration, an evacuation or a drain that ends as the
+    # store goes back, and against writes that are ignored after it.
+    async def work():
+        async with run_environment() as environment:
+            store = environment.store
+            copy = store.copy()
+            environment.declare(2, prefix="/y/")
+            store.put("op/evacuate/north", {})
+            environment.publish_replica("s1b", state="draining")
+            environment.publish_replica("s1a", zone="south")
+            await asyncio.sleep(0.6)
+            assert (await environment.query(1))[0] == 404
+            before = store.copy()
+            store.restore(copy)
+            await asyncio.sleep(0.8)
+            board = environment.host.board
+            assert board.find_table("route_table").get("current").version == 2
+            assert board.find_table("evacuations").get("north")
+            listed = board.find_table("listed_targets")
+            assert listed.get("s1b").is_draining
+            store.write_again(before, copy)
+            await asyncio.sleep(0.8)
+            state = board.find_table("feed_state").get("current")
+            assert state.position == (1, store.revision)
+            assert listed.get("s1a").data_centre == "south"
+            environment.declare(3, prefix="/x/")
+            store.remove("op/evacuate/north")
+            await asyncio.sleep(0.8)
+            assert board.find_table("route_table").get("current").version == 3
+            assert board.find_table("evacuations").get("north") is None
+
+    run(work)
--- a/tests/platform_adapter/test_platform_store.py
+++ b/tests/platform_adapter/test_platform_store.py
@@ -147,3 +147,34 @@
             assert store._server.connections == 1
 
     run(work)
+
+
+def test_the_era_of_the_store_is_read():
+    async def work():
+        async with run_store() as (harness, store):
+            store.put("servers/t1", items.TARGET)
+            assert (await read(harness)).era == 0
+            copy = store.copy()
+            store.put("servers/t2", items.TARGET)
+            store.restore(copy)
+            gone = await watch(harness, 2)
+            assert gone.status == feeds.GONE
+            result = await read(harness)
+            assert (result.era, result.revision) == (1, 1)
+            assert [change.era for change in result.changes] == [1]
+
+    run(work)
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "1.5", "", "9" * 5000])
+def test_an_era_that_is_no_whole_number_is_a_failed_read(era):
+    # Guards against an era of 0 in place of an error, which looks like an old
+    # answer, and against an exception.
+    async def work():
+        async with run_store() as (harness, store):
+            store.era = era
+            result = await read(harness)
+            assert result.status == feeds.LOST
+            assert "era" in result.detail
+
+    run(work)
