Release a refused request at once

Cause: the reader of a connection and its parser refer to each other, so the bytes of a request that was refused to make room stayed until the next garbage collection, uncounted.

Change: a reader that is not fed any more drops its request and its parser.

Evidence: test_a_refused_request_is_released_at_once.

--- a/src/bramleyfork/listeners/request_readers.py
+++ b/src/bramleyfork/listeners/request_readers.py
@@ -85,6 +85,16 @@
         self._body = bytearray()
         self._received_at = 0.0
 
+    def close(self) -> None:
+        """Releases the incomplete request; nothing may be fed any more.
+
+        The parser refers to this reader, so both would otherwise hold it until
+        the next garbage collection.
+        """
+        self._parser = None
+        self._framing_bytes = 0
+        self._reset()
+
     def count_held_bytes(self) -> int:
         """Returns how much memory the incomplete request takes, in bytes."""
         return (
--- a/src/bramleyfork/listeners/server_connections.py
+++ b/src/bramleyfork/listeners/server_connections.py
@@ -217,7 +217,7 @@
         """Drops queued requests and notifies the handler."""
         del exc
         self._transport = None
-        self._reader = None
+        self._close_reader()
         self._queued.clear()
         self._account.close()
         self._handler.remove_connection(self)
@@ -261,7 +261,7 @@
         """
         if self._reader is None:
             return
-        self._reader = None
+        self._close_reader()
         self._refusal_status = status
         if self._current is None and not self._queued:
             self._write_refusal()
@@ -271,7 +271,7 @@
         if self._transport is None:
             return
         now = self._loop.time()
-        self._reader = None
+        self._close_reader()
         self._set_state(CLOSING, now)
         self._update_account(now)
         self._transport.close()
@@ -286,7 +286,7 @@
         is_reading = self.state in (READING_HEAD, READING_BODY)
         has_unsent = self._transport.get_write_buffer_size() > 0
         if has_unsent or self.state in (LINGERING, CLOSING):
-            self._reader = None
+            self._close_reader()
             self._transport.abort()
             return
         if is_reading:
@@ -323,6 +323,11 @@
         self._queued_bytes += http_request.held_bytes
         self._unmarked_bytes = _PROGRESS_BYTES
 
+    def _close_reader(self) -> None:
+        if self._reader is not None:
+            self._reader.close()
+            self._reader = None
+
     def _continue_request(self) -> None:
         self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
