--- a/tests/platform_adapter/test_host.py
+++ b/tests/platform_adapter/test_host.py
@@ -473,3 +473,26 @@
             assert board.find_table("evacuations").get("north") is None
 
     run(work)
+
+
+def test_a_restored_store_is_read_a_few_times_and_its_next_write_counts():
+    # Guards against 410 and old listings that alternate without a pause: one
+    # host made 2,221 calls in the two seconds of this test.
+    async def work():
+        async with run_environment() as environment:
+            store = environment.store
+            copy = store.copy()
+            for slots in range(1, 21):
+                environment.publish_replica("s1a", slots=slots)
+            environment.declare(2, prefix="/y/")
+            await asyncio.sleep(0.8)
+            before = len(store.calls)
+            store.restore(copy)
+            await asyncio.sleep(1.0)
+            environment.declare(3, prefix="/x/")
+            await asyncio.sleep(1.0)
+            table = environment.host.board.find_table("route_table")
+            assert table.get("current").version == 3
+            assert len(store.calls) - before < 20
+
+    run(work)
