--- a/src/bramleyfork/entry/controllers/feed.py
+++ b/src/bramleyfork/entry/controllers/feed.py
@@ -13,46 +13,16 @@
 from bramleyfork.entry.controllers import _feed_content
 from bramleyfork.entry.controllers import _feed_listing
 from bramleyfork.entry.controllers import _feed_sources
+from bramleyfork.entry.decisions import feed_times
 from bramleyfork.entry.decisions import sources
 
 _LOG = logging.getLogger(__name__)
 
-# Time after which a watch of the store returns without changes. A broken
-# connection is noticed only then, so it is short compared with the time in
-# which a change has to be in force.
-_STORE_WATCH_WAIT_S = 2.0
-# Delay between changes and the next read. Changes come in groups, and each read
-# has a cost for the source. A watcher of a large fleet reads less often, as the
-# targets of such a fleet change all the time; reads of hosts cost little.
-_BATCH_DELAY_S = 0.25
-_WATCHER_BATCH_DELAY_S = 0.75
-_PEER_BATCH_DELAY_S = 0.05
-# Time after a listing or a failure for which a watcher uses the short delay:
-# targets are being listed then, and callers wait for them.
-_SETTLING_S = 4.0
 # Interval at which a starting host looks for a host to list the feed from.
 _JOIN_CHECK_INTERVAL_S = 0.05
-# Time beyond the wait of a watch after which a read of the store has failed.
-_STORE_READ_MARGIN_S = 1.0
-# The same for a read of another host. It is short enough to try two
-# unresponsive hosts in turn before a change has to be in force.
-_PEER_READ_MARGIN_S = 0.5
-# Bounds of the time limit for reads of a store that has failed. The reads don't
-# wait for changes, and the limit doubles with each failure. It is short, as the
-# host reads from no other source meanwhile.
-_PROBE_MIN_S = 0.5
-_PROBE_MAX_S = 2.0
 # Number of consecutive failures up to which another source is tried at once.
 _MAX_IMMEDIATE_RETRIES = 4
-# Time after which a watch of another host returns without changes. Such a watch
-# costs nothing, and a short one soon shows that the host is unresponsive.
-_PEER_WATCH_WAIT_S = 1.0
 _LIST_TIMEOUT_S = 2.0  # Time limit of one page of a listing.
-# Bounds of the exponential backoff while no source answers.
-_BACKOFF_MIN_S = 0.1
-_BACKOFF_MAX_S = 1.0
-# The upper bound for a host that has not listed the feed and so can't serve.
-_FIRST_BACKOFF_MAX_S = 0.25
 
 
 @components.register(
@@ -106,7 +76,7 @@
         self._comparison = _feed_comparison.Comparison()
         self._is_listed = False
         self._read_at = 0.0
-        self._backoff_s = _BACKOFF_MIN_S
+        self._backoff_s = feed_times.BACKOFF_MIN_S
         self._is_lost = False
         self._synced_at = 0.0
         self._source = sources.STORE
@@ -199,26 +169,18 @@
         self, address: tuple[str, int] | None
     ) -> tuple[float, float]:
         """Returns the wait of a watch and its time limit, both in seconds."""
-        wait_s, margin_s = _STORE_WATCH_WAIT_S, _STORE_READ_MARGIN_S
-        if address is not None:
-            wait_s, margin_s = _PEER_WATCH_WAIT_S, _PEER_READ_MARGIN_S
-        elif self._store_failures:
-            wait_s = 0.0
-            margin_s = min(
-                _PROBE_MAX_S,
-                _PROBE_MIN_S * 2 ** (self._store_failures - 1),
-            )
-        if not self._is_current:
-            wait_s = 0.0
-        return wait_s, wait_s + margin_s
+        return feed_times.compute_watch_times(
+            is_store=address is None,
+            store_failures=self._store_failures,
+            is_current=self._is_current,
+        )
 
     def _compute_batch_delay(self) -> float:
-        if self._source != sources.STORE:
-            return _PEER_BATCH_DELAY_S
-        is_settled = self._now > self._unsettled_at + _SETTLING_S
-        if is_settled and self._sources.reads_for_others():
-            return _WATCHER_BATCH_DELAY_S
-        return _BATCH_DELAY_S
+        return feed_times.compute_batch_delay(
+            is_store=self._source == sources.STORE,
+            settled_s=self._now - self._unsettled_at,
+            reads_for_others=self._sources.reads_for_others(),
+        )
 
     # Results.
 
@@ -289,11 +251,8 @@
         self._is_listing = True
         self._listing = _feed_listing.Listing()
         self._listings_in_row += 1
-        if self._listings_in_row > 1:
-            pause_s = min(
-                _BACKOFF_MAX_S,
-                _BACKOFF_MIN_S * 2 ** (self._listings_in_row - 2),
-            )
+        pause_s = feed_times.compute_listing_pause(self._listings_in_row)
+        if pause_s:
             self._read_at = self._now + pause_s * (0.5 + self._random.random())
 
     def _handle_page(self, result: feeds.FeedResult) -> None:
@@ -386,7 +345,7 @@
         if self._source == sources.STORE:
             self._hops = 0
             self._store_failures = 0
-        self._backoff_s = _BACKOFF_MIN_S
+        self._backoff_s = feed_times.BACKOFF_MIN_S
         self._read_at = self._now
         if self._is_lost:
             self._is_lost = False
@@ -437,5 +396,9 @@
             self._put_state()
         delay_s = self._backoff_s * (0.5 + self._random.random())
         self._read_at = self._now + delay_s
-        limit_s = _BACKOFF_MAX_S if self._synced_at else _FIRST_BACKOFF_MAX_S
+        limit_s = (
+            feed_times.BACKOFF_MAX_S
+            if self._synced_at
+            else feed_times.FIRST_BACKOFF_MAX_S
+        )
         self._backoff_s = min(limit_s, 2 * self._backoff_s)
--- a/src/bramleyfork/entry/transports/_statements.py
+++ b/src/bramleyfork/entry/transports/_statements.py
@@ -6,7 +6,7 @@
 from bramleyfork.entry import components
 from bramleyfork.entry import declarations
 from bramleyfork.entry.decisions import answers
-from bramleyfork.entry.transports import http_client
+from bramleyfork.entry.transports import http_responses
 
 
 class StatementRecorder:
@@ -35,7 +35,7 @@
     def record(
         self,
         target: declarations.ListedTarget,
-        response: http_client.HttpResponse,
+        response: http_responses.HttpResponse,
         *,
         sent_at: float,
         now: float,
--- a/src/bramleyfork/entry/transports/_target_pools.py
+++ b/src/bramleyfork/entry/transports/_target_pools.py
@@ -5,6 +5,7 @@
 
 from bramleyfork.entry import exchanges
 from bramleyfork.entry.transports import http_client
+from bramleyfork.entry.transports import http_responses
 
 # Connections that close within this time of each other close together.
 _CLOSE_TOGETHER_S = 0.05
@@ -32,7 +33,7 @@
         self.pool = pool
         self.connection: http_client.ClientConnection | None = None
         self.sent_at = 0.0
-        self.response: http_client.HttpResponse | None = None
+        self.response: http_responses.HttpResponse | None = None
 
     @property
     def request_id(self) -> bytes:
--- a/src/bramleyfork/entry/transports/health_checks.py
+++ b/src/bramleyfork/entry/transports/health_checks.py
@@ -7,6 +7,7 @@
 from bramleyfork.entry.transports import _statements
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
+from bramleyfork.entry.transports import http_responses
 from bramleyfork.entry.transports import receive_budgets
 
 _TIMEOUT_S = 1.0
@@ -71,7 +72,7 @@
 
     async def _fetch(
         self, probe: exchanges.Probe
-    ) -> http_client.HttpResponse | None:
+    ) -> http_responses.HttpResponse | None:
         """Returns the whole response to a health check, or None."""
         done = self._loop.create_future()
 
--- a/src/bramleyfork/entry/transports/http_client.py
+++ b/src/bramleyfork/entry/transports/http_client.py
@@ -6,15 +6,10 @@
 
 import httptools
 
-from bramleyfork.entry import http_headers
+from bramleyfork.entry.transports import _keep_alive
+from bramleyfork.entry.transports import http_responses
 from bramleyfork.entry.transports import receive_budgets
 
-# Idle connections are closed this long before the target's keep-alive timeout:
-# a request that is sent while the target closes the connection may have run.
-_KEEP_ALIVE_MARGIN_S = 1.0
-# Time for which a connection may be reused if the target states no timeout.
-_KEEP_ALIVE_DEFAULT_S = 20.0
-_KEEP_ALIVE_MAX_S = 600  # A longer stated timeout counts as this one.
 # Maximum number of bytes of a response, with its head and its framing.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Statuses that HTTP defines (RFC 9110, section 15). The parser accepts others.
@@ -32,46 +27,8 @@
     """A response has a status that HTTP doesn't define."""
 
 
-class HttpResponse:
-    """A parsed response.
-
-    Attributes:
-      status: Status code.
-      headers: Names and values of its header fields.
-      body: Whole body.
-      ends_with_connection: Whether only the end of its connection shows that it
-        is complete, as its length is not declared.
-    """
-
-    __slots__ = ("status", "headers", "body", "ends_with_connection")
-
-    def __init__(
-        self,
-        *,
-        status: int,
-        headers: tuple[tuple[bytes, bytes], ...],
-        body: bytes,
-        ends_with_connection: bool = False,
-    ):
-        self.status = status
-        self.headers = headers
-        self.body = body
-        self.ends_with_connection = ends_with_connection
-
-    def get_header(self, name: bytes) -> bytes | None:
-        """Returns the first value of a header field; None without the field.
-
-        Args:
-          name: Name of the field in lower case.
-        """
-        for field, value in self.headers:
-            if field.lower() == name:
-                return value
-        return None
-
-
 ResponseCallback = collections.abc.Callable[
-    ["ClientConnection", HttpResponse | None, str], None
+    ["ClientConnection", http_responses.HttpResponse | None, str], None
 ]
 
 
@@ -386,7 +343,7 @@
         if self._is_oversized:
             self._fail("oversized")
             return
-        reply = HttpResponse(
+        reply = http_responses.HttpResponse(
             status=self._status,
             headers=tuple(self._headers),
             body=bytes(self._body),
@@ -404,22 +361,12 @@
             and not self._unsent
         )
         self.reusable_until = (
-            now + _read_keep_alive(reply) if keeps_alive else 0.0
+            now + _keep_alive.find_reuse_time(reply.get_header(b"keep-alive"))
+            if keeps_alive
+            else 0.0
         )
         self._clear()
         self._on_response(self, reply, "")
         if not keeps_alive and self._transport is not None:
             self.is_closed_here = True
             self._transport.close()
-
-
-def _read_keep_alive(reply: HttpResponse) -> float:
-    value = reply.get_header(b"keep-alive")
-    if value is None:
-        return _KEEP_ALIVE_DEFAULT_S
-    for field in value.split(b","):
-        name, _, seconds = field.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.strip().isdigit():
-            stated_s = min(_KEEP_ALIVE_MAX_S, http_headers.parse_count(seconds))
-            return max(0.0, stated_s - _KEEP_ALIVE_MARGIN_S)
-    return _KEEP_ALIVE_DEFAULT_S
--- a/src/bramleyfork/entry/transports/targets.py
+++ b/src/bramleyfork/entry/transports/targets.py
@@ -16,6 +16,7 @@
 from bramleyfork.entry.transports import _target_pools
 from bramleyfork.entry.transports import _target_replies
 from bramleyfork.entry.transports import http_client
+from bramleyfork.entry.transports import http_responses
 from bramleyfork.entry.transports import receive_budgets
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -292,7 +293,7 @@
     def _handle_reply(
         self,
         connection: http_client.ClientConnection,
-        response: http_client.HttpResponse | None,
+        response: http_responses.HttpResponse | None,
         fault: str,
     ) -> None:
         attempt = self._by_connection.pop(connection, None)
@@ -315,7 +316,7 @@
     def _handle_response(
         self,
         attempt: _target_pools.Attempt,
-        response: http_client.HttpResponse,
+        response: http_responses.HttpResponse,
     ) -> None:
         """Reports a complete response and releases its connection."""
         connection = attempt.connection
--- a/src/bramleyfork/listeners/server_connections.py
+++ b/src/bramleyfork/listeners/server_connections.py
@@ -1,22 +1,16 @@
 """Server side of HTTP/1.1 connections: reads requests, writes responses."""
 
 import asyncio
-import collections
-import socket
-import struct
-import typing
 
 from bramleyfork.listeners import budgets
+from bramleyfork.listeners import connection_handlers
 from bramleyfork.listeners import http_heads
 from bramleyfork.listeners import http_requests
-from bramleyfork.listeners import limits as limits_module
+from bramleyfork.listeners import read_pauses
+from bramleyfork.listeners import request_queues
 from bramleyfork.listeners import request_readers
-from bramleyfork.listeners import resources as resources_module
+from bramleyfork.listeners import sockets
 
-# Pipelined requests, and their bytes, that are queued on one connection. With
-# more, reading from the connection is paused.
-_MAX_PIPELINED_REQUESTS = 4
-_MAX_PIPELINED_BYTES = 64 * 1024
 # Requests of one connection that are handled in one turn of the event loop.
 _MAX_REQUESTS_PER_TURN = 16
 # Memory of a connection without a request.
@@ -27,9 +21,6 @@
 # chunks or fields takes far fewer.
 _COSTLY_CALLS = 256
 
-# The smoothed round-trip time in microseconds (tcpi_rtt) in Linux's tcp_info.
-_TCP_INFO_RTT_FORMAT = struct.Struct("68xI")
-
 # States of a connection.
 IDLE = "idle"
 READING_HEAD = "reading"  # Part of a request head has arrived.
@@ -40,47 +31,6 @@
 CLOSING = "closing"  # Closed once the client has read the last response.
 
 
-# Reasons for which reading is paused, as bits.
-_PAUSE_FULL = 1  # Enough requests are queued.
-_PAUSE_TURN = 2  # The connection waits for its next turn.
-
-
-class ConnectionHandler(typing.Protocol):
-    """Handles requests, and the opening and closing of connections.
-
-    Implemented by the transports that listen.
-
-    Attributes:
-      limits: Limits that requests and connections have to keep.
-      resources: What all connections share.
-      is_closing: Whether connections are closed after their next response.
-      linger_bytes: Bytes that are read and dropped after a refusal. Closing a
-        connection with unread data resets it, and the client may then not
-        receive the refusal.
-    """
-
-    limits: limits_module.CallerLimits
-    resources: resources_module.LoopResources
-    is_closing: bool
-    linger_bytes: int
-
-    def handle_request(
-        self,
-        connection: "ServerConnection",
-        http_request: http_requests.HttpRequest,
-    ) -> None:
-        """Handles a whole request; responds with ``connection.respond``."""
-
-    def build_refusal(self, status: int) -> tuple[http_heads.Headers, bytes]:
-        """Returns headers and body of the refusal of an incomplete request."""
-
-    def add_connection(self, connection: "ServerConnection") -> None:
-        """Called when a connection has been opened."""
-
-    def remove_connection(self, connection: "ServerConnection") -> None:
-        """Called when a connection has ended."""
-
-
 class ServerConnection(asyncio.BufferedProtocol):
     """Reads requests of one connection and writes their responses in order.
 
@@ -114,7 +64,6 @@
         "_transport",
         "_reader",
         "_queued",
-        "_queued_bytes",
         "_current",
         "_refusal_status",
         "_is_dispatching",
@@ -126,7 +75,10 @@
     )
 
     def __init__(
-        self, *, handler: ConnectionHandler, loop: asyncio.AbstractEventLoop
+        self,
+        *,
+        handler: connection_handlers.ConnectionHandler,
+        loop: asyncio.AbstractEventLoop,
     ):
         self.caller = ""
         self.rtt_s = 0.0
@@ -138,15 +90,12 @@
         self._account: budgets.Account | None = None
         self._transport: asyncio.Transport | None = None
         self._reader: request_readers.RequestReader | None = None
-        self._queued: collections.deque[http_requests.HttpRequest] = (
-            collections.deque()
-        )
-        self._queued_bytes = 0
+        self._queued = request_queues.RequestQueue()
         self._current: http_requests.HttpRequest | None = None
         self._refusal_status = 0
         self._is_dispatching = False
         self._is_write_paused = False
-        self._pauses = 0
+        self._pauses: read_pauses.ReadPauses | None = None
         self._unmarked_bytes = 0
         self._dropped_bytes = 0
         self._unsent_bytes = 0
@@ -156,6 +105,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and reads the caller's address and latency."""
         self._transport = transport
+        self._pauses = read_pauses.ReadPauses(transport=transport)
         self._reader = request_readers.RequestReader(
             get_limits=lambda: self._handler.limits,
             on_request=self._queue_request,
@@ -163,7 +113,9 @@
         )
         peer = transport.get_extra_info("peername")
         self.caller = peer[0] if peer else ""
-        self.rtt_s = _measure_round_trip(transport.get_extra_info("socket"))
+        self.rtt_s = sockets.measure_round_trip(
+            transport.get_extra_info("socket")
+        )
         self._handler.add_connection(self)
         now = self._loop.time()
         self._account = self._resources.budget.open_account(
@@ -201,7 +153,7 @@
         if self._reader.parser_calls - calls_before > _COSTLY_CALLS:
             self._wait_for_turn()
         if self._is_queue_full():
-            self._pause(_PAUSE_FULL)
+            self._pauses.add(read_pauses.FULL)
 
     def pause_writing(self) -> None:
         """Stops handling requests until the client has read responses."""
@@ -314,13 +266,12 @@
 
     def resume_reading(self) -> None:
         """Continues to read after a costly read."""
-        self._resume(_PAUSE_TURN)
+        self._pauses.remove(read_pauses.TURN)
 
     # Reading.
 
     def _queue_request(self, http_request: http_requests.HttpRequest) -> None:
         self._queued.append(http_request)
-        self._queued_bytes += http_request.held_bytes
         self._unmarked_bytes = _PROGRESS_BYTES
 
     def _close_reader(self) -> None:
@@ -348,29 +299,14 @@
         """Returns whether enough requests wait behind the current one."""
         if self._current is None and not self._queued:
             return False
-        if len(self._queued) > _MAX_PIPELINED_REQUESTS:
-            return True
-        waiting_bytes = self._queued_bytes + self._reader.count_held_bytes()
-        return waiting_bytes > _MAX_PIPELINED_BYTES
+        return self._queued.is_full(self._reader.count_held_bytes())
 
     def _wait_for_turn(self) -> None:
-        if self._pauses & _PAUSE_TURN:
+        if self._pauses.has(read_pauses.TURN):
             return
-        self._pause(_PAUSE_TURN)
+        self._pauses.add(read_pauses.TURN)
         self._resources.turns.add(self, self._loop)
 
-    def _pause(self, reason: int) -> None:
-        if not self._pauses:
-            self._transport.pause_reading()
-        self._pauses |= reason
-
-    def _resume(self, reason: int) -> None:
-        if not self._pauses & reason:
-            return
-        self._pauses &= ~reason
-        if not self._pauses and self._transport is not None:
-            self._transport.resume_reading()
-
     # Handling.
 
     def _handle_next(self) -> None:
@@ -404,8 +340,7 @@
         )
 
     def _handle_one(self) -> None:
-        self._current = self._queued.popleft()
-        self._queued_bytes -= self._current.held_bytes
+        self._current = self._queued.pop()
         self.state = BUSY
         self._handler.handle_request(self, self._current)
 
@@ -425,7 +360,7 @@
         else:
             self._set_state(self._find_reading_state(), now)
         if not self._queued:
-            self._resume(_PAUSE_FULL)
+            self._pauses.remove(read_pauses.FULL)
         self._update_account(now)
 
     def _find_reading_state(self) -> str:
@@ -442,7 +377,7 @@
     def _update_account(self, now: float) -> None:
         held_bytes = (
             _CONNECTION_BYTES
-            + self._queued_bytes
+            + self._queued.held_bytes
             + self._transport.get_write_buffer_size()
         )
         if self._current is not None:
@@ -471,16 +406,3 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None:
             self._transport.write(data)
-
-
-def _measure_round_trip(sock: socket.socket) -> float:
-    """Returns the kernel's round-trip time in seconds; 0 if unknown."""
-    try:
-        info = sock.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_RTT_FORMAT.size
-        )
-    except (OSError, AttributeError):
-        return 0.0  # TCP_INFO is not supported; treated as a nearby caller.
-    if len(info) < _TCP_INFO_RTT_FORMAT.size:
-        return 0.0
-    return _TCP_INFO_RTT_FORMAT.unpack(info)[0] / 1_000_000
--- a/src/bramleyfork/listeners/sockets.py
+++ b/src/bramleyfork/listeners/sockets.py
@@ -1,8 +1,9 @@
-"""Opens listening sockets."""
+"""Opens listening sockets and measures connections."""
 
 import asyncio
 import collections.abc
 import socket
+import struct
 
 # Connections that the kernel queues before they are accepted.
 _BACKLOG = 512
@@ -10,6 +11,9 @@
 # could use up the descriptors before the first of them is counted.
 _ACCEPTED_PER_TURN = 16
 
+# The smoothed round-trip time in microseconds (tcpi_rtt) in Linux's tcp_info.
+_TCP_INFO_RTT_FORMAT = struct.Struct("68xI")
+
 
 async def open_server(
     build_protocol: collections.abc.Callable[[], asyncio.BaseProtocol],
@@ -40,3 +44,16 @@
         sock.close()
         raise
     return server
+
+
+def measure_round_trip(sock: socket.socket) -> float:
+    """Returns the kernel's round-trip time in seconds; 0 if unknown."""
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_RTT_FORMAT.size
+        )
+    except (OSError, AttributeError):
+        return 0.0  # TCP_INFO is not supported; treated as a nearby caller.
+    if len(info) < _TCP_INFO_RTT_FORMAT.size:
+        return 0.0
+    return _TCP_INFO_RTT_FORMAT.unpack(info)[0] / 1_000_000
--- a/src/bramleyfork/transports/platform.py
+++ b/src/bramleyfork/transports/platform.py
@@ -225,28 +225,19 @@
     controllers decide when to read again.
     """
 
-    def __init__(
-        self,
-        *,
-        board: blackboard.Blackboard,
-        settings: typing.Any,
-        clock: clocks.Clock,
-        budget: typing.Any = None,
-    ):
-        super().__init__(
-            board=board, settings=settings, clock=clock, budget=budget
-        )
-        writer = board.grant_writer("platform_results", self.name)
+    def __init__(self, **arguments: typing.Any):
+        super().__init__(**arguments)
+        writer = self.board.grant_writer("platform_results", self.name)
         # The cursors are opened before the start, so that reads requested
         # earlier are executed as well.
         self._workers = [
             ReadWorker(
                 name=name,
-                cursor=board.find_log(section).open_cursor(),
+                cursor=self.board.find_log(section).open_cursor(),
                 accepts=accepts,
                 connect=self._build_connection,
                 write=writer.append,
-                clock=clock,
+                clock=self.clock,
             )
             for name, section, accepts in _READ_WORKERS
         ]
--- a/src/bramleyfork/transports/targets.py
+++ b/src/bramleyfork/transports/targets.py
@@ -8,8 +8,6 @@
 import urllib3.exceptions
 
 from bramleyfork.codecs import target_messages
-from bramleyfork.core import blackboard
-from bramleyfork.core import clocks
 from bramleyfork.core import replies
 from bramleyfork.core import requests
 from bramleyfork.core import transports
@@ -42,20 +40,11 @@
     of each attempt is written to "attempt_results".
     """
 
-    def __init__(
-        self,
-        *,
-        board: blackboard.Blackboard,
-        settings,
-        clock: clocks.Clock,
-        budget: typing.Any = None,
-    ):
-        super().__init__(
-            board=board, settings=settings, clock=clock, budget=budget
-        )
-        self._cursor = board.find_log("attempts").open_cursor()
-        self._writer = board.grant_writer("attempt_results", self.name)
-        self._lease = board.find_table("lease")
+    def __init__(self, **arguments: typing.Any):
+        super().__init__(**arguments)
+        self._cursor = self.board.find_log("attempts").open_cursor()
+        self._writer = self.board.grant_writer("attempt_results", self.name)
+        self._lease = self.board.find_table("lease")
         self._pools: dict[str, target_connections.TargetConnectionPool] = {}
         self._pools_lock = threading.Lock()
         self._stopped = threading.Event()
@@ -63,7 +52,7 @@
             threading.Thread(
                 target=self._run, name=f"target-{number}", daemon=True
             )
-            for number in range(settings.target_threads)
+            for number in range(self.settings.target_threads)
         ]
 
     def start(self) -> None:
--- a/tests/entry/transports/test_entry_decoder_fuzz.py
+++ b/tests/entry/transports/test_entry_decoder_fuzz.py
@@ -14,6 +14,7 @@
 from bramleyfork.entry import feeds
 from bramleyfork.entry.controllers import observations
 from bramleyfork.entry.transports import http_client
+from bramleyfork.entry.transports import http_responses
 from bramleyfork.entry.transports import peers
 from bramleyfork.entry.transports import receive_budgets
 from bramleyfork.listeners import budgets
@@ -257,7 +258,7 @@
         "current_rev": revision,
         "truncated": truncated,
     }
-    response = http_client.HttpResponse(
+    response = http_responses.HttpResponse(
         status=200, headers=(), body=json.dumps(body).encode()
     )
     result = platform_store.decode_result(
