--- a/tests/standalone/test_standalone_host.py
+++ b/tests/standalone/test_standalone_host.py
@@ -137,6 +137,7 @@
         ) as started:
             process = started.process
             while not has_loaded(process, library):
+                assert process.poll() is None
                 await asyncio.sleep(0.001)
             process.send_signal(signal.SIGHUP)
             await started.wait_until_ready()
