--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -92,6 +92,7 @@
         self.log_path = None
         self.ends = []  # Why its processes ended.
         self.peak_bytes = 0
+        self.started_at = 0.0
         self.is_kept_down = False
 
     @property
@@ -260,6 +261,7 @@
                 stderr=log,
                 stdin=subprocess.DEVNULL,
             )
+        host.started_at = time.monotonic()
         self.record.write(
             f"platform starts {host.name}, process {host.process.pid}"
         )
